--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+GO ?= go
+LINT_VERSION := v2.15.0
+LINT := .bin/golangci-lint
+
+.PHONY: test race lint vet traces bench tools
+
+# The command that the README names and that CI runs first.
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+vet:
+	$(GO) vet ./...
+
+$(LINT):
+	GOBIN=$(CURDIR)/.bin $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+tools: $(LINT)
+
+lint: $(LINT)
+	@test -z "$$(gofmt -l . | tee /dev/stderr)"
+	$(LINT) run ./...
+
+traces:
+	@if ls traces/*.jsonl >/dev/null 2>&1; then $(GO) run ./cmd/gypsumrail replay traces/*.jsonl; fi
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/cmd/gypsumrail/main.go
@@ -0,0 +1,13 @@
+// Command gypsumrail is the overload control layer: the node that runs beside
+// each target instance and the tools for its operators.
+package main
+
+import (
+	"os"
+
+	"github.com/gypsumrail/gypsumrail/verbs"
+)
+
+func main() {
+	os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/ledger.go
@@ -0,0 +1,48 @@
+package gypsumrail
+
+// Key names a non-repeatable request and the one place that may run it.
+type Key struct {
+	Home        string // instance name
+	Incarnation Incarnation
+	Epoch       uint32
+	Nonce       string
+}
+
+// HomeAttempt orders the attempts of one key: the caller's attempt times 256
+// plus the attempt of the sending node.
+type HomeAttempt uint32
+
+// Verdict is the ledger's answer about one attempt of a key.
+type Verdict string
+
+// Verdicts of a ledger.
+const (
+	VerdictStart   Verdict = "Start"   // the attempt was recorded as started; run it now
+	VerdictRefused Verdict = "Refused" // the attempt did not run and never will
+	VerdictRunning Verdict = "Running" // an attempt of the key is running
+	VerdictDone    Verdict = "Done"    // an attempt of the key ran
+	VerdictExpired Verdict = "Expired" // the epoch is no longer accepted; it may have run
+	VerdictForeign Verdict = "Foreign" // the key names another home or incarnation; it may have run there
+	VerdictFull    Verdict = "Full"    // no room; the key is refused for good
+	VerdictInvalid Verdict = "Invalid" // the key is malformed or from a future epoch
+)
+
+// Ledger remembers what the home started and what it refused, as long as a copy
+// can still be accepted. It is not safe for concurrent use.
+type Ledger interface {
+	// Epoch returns the current epoch.
+	Epoch(now Millis) uint32
+	// Start records an attempt as started if it may run.
+	Start(now Millis, key Key, attempt HomeAttempt) Verdict
+	// Refuse records that an attempt did not run and never will. Attempts that already
+	// started are not changed; the verdict tells their state.
+	Refuse(now Millis, key Key, attempt HomeAttempt) Verdict
+	// Finish records the end of the started attempt. With NotRun a higher attempt may start.
+	Finish(now Millis, key Key, outcome Outcome)
+	// State returns the verdict for an attempt without recording anything.
+	State(now Millis, key Key, attempt HomeAttempt) Verdict
+	// Expire drops the entries of epochs that are no longer accepted.
+	Expire(now Millis)
+	// Len returns the number of entries.
+	Len() int
+}
--- /dev/null
+++ b/names.go
@@ -0,0 +1,84 @@
+package gypsumrail
+
+import "github.com/cespare/xxhash/v2"
+
+// CallID numbers the calls that one node handles. It has no meaning outside
+// the process.
+type CallID uint64
+
+// Incarnation tells one run of an instance from the next: Unix milliseconds at
+// start shifted left by 20 bits, plus 20 random bits. A higher value is a later
+// run. Zero means unknown.
+type Incarnation uint64
+
+// Revision numbers the published versions of a platform value. Higher is newer;
+// zero means that none is known.
+type Revision uint64
+
+// Importance ranks request classes from 0 (shed first) to 9 (shed last).
+type Importance int
+
+// The range of Importance and the level from which the reserved slots may be used.
+const (
+	ImportanceMin      Importance = 0
+	ImportanceMax      Importance = 9
+	ImportanceReserved Importance = 8
+)
+
+// Level orders calls for shedding: the importance of the class, then a hash of
+// the user request that is the same at every hop, so that one user request is
+// accepted or refused alike over the whole chain. It ranges from 0 to LevelMax.
+type Level int
+
+// LevelsPerImportance is the number of hash steps within one importance.
+const LevelsPerImportance = 128
+
+// LevelMax is one above the highest level of a call. A threshold of LevelMax
+// refuses everything.
+const LevelMax = Level(ImportanceMax+1) * LevelsPerImportance
+
+// LevelOf returns the level of a user request.
+func LevelOf(importance Importance, request string) Level {
+	return Level(importance)*LevelsPerImportance + Level(xxhash.Sum64String(request)%LevelsPerImportance)
+}
+
+// Outcome tells whether a call ran.
+type Outcome string
+
+// Outcomes of a call or of one attempt.
+const (
+	// NotRun means that the attempt did not run and never will.
+	NotRun Outcome = "NotRun"
+	// Ran means that the target ran the call. The answer may have been lost.
+	Ran Outcome = "Ran"
+	// Unknown means that the call may have run.
+	Unknown Outcome = "Unknown"
+)
+
+// Reason tells why a call was refused or failed.
+type Reason string
+
+// Reasons, as they appear in problem bodies, metrics and traces.
+const (
+	ReasonNone         Reason = ""
+	ReasonOverload     Reason = "Overload"     // the queue is full or the call was evicted from it
+	ReasonShed         Reason = "Shed"         // the level is below the threshold of this or a deeper service
+	ReasonDeadline     Reason = "Deadline"     // the call cannot finish in its remaining time
+	ReasonDraining     Reason = "Draining"     // the instance is leaving
+	ReasonNoUpstream   Reason = "NoUpstream"   // no usable upstream can serve the class
+	ReasonNoAllowance  Reason = "NoAllowance"  // the retry allowance or the retry budget is used up
+	ReasonUnknownName  Reason = "UnknownName"  // service or class is not in the records in force
+	ReasonKeyRequired  Reason = "KeyRequired"  // a non-repeatable call came without a valid key
+	ReasonKeyExpired   Reason = "KeyExpired"   // the epoch of the key is no longer accepted
+	ReasonKeyRefused   Reason = "KeyRefused"   // a tombstone forbids this attempt
+	ReasonKeyInUse     Reason = "KeyInUse"     // the call of this key is still running
+	ReasonKeyDone      Reason = "KeyDone"      // the call of this key ran; its answer is not kept
+	ReasonHomeGone     Reason = "HomeGone"     // the home of the key cannot be reached or was replaced
+	ReasonTargetFailed Reason = "TargetFailed" // the target could not be reached or broke the connection
+	ReasonSilent       Reason = "Silent"       // the connection stopped carrying data
+	ReasonBroken       Reason = "Broken"       // the connection broke before a whole answer
+	ReasonConnect      Reason = "Connect"      // no connection could be opened, so nothing was sent
+	ReasonCallerGone   Reason = "CallerGone"   // the caller left
+	ReasonSuperseded   Reason = "Superseded"   // a resend of the same request took over the answer
+	ReasonTooDeep      Reason = "TooDeep"      // the chain is deeper than the limit
+)
--- /dev/null
+++ b/records.go
@@ -0,0 +1,53 @@
+package gypsumrail
+
+// Records is one validated revision of the published records, with the schema
+// versions already resolved. It is never changed after it was built, so it is
+// safe for concurrent use.
+type Records struct {
+	Revision Revision
+	Services map[string]*Service
+	Targets  map[string]*Target
+	Classes  map[string]*Class
+	Tenants  map[string]*Tenant
+}
+
+// Service describes one service of the call graph.
+type Service struct {
+	Name         string
+	Dependencies []string // services that its targets call
+	Protocol     string   // "http/1.1"
+	SlotsMax     int      // ceiling of concurrent calls of one target
+	ConnsMax     int      // ceiling of connections to one target
+	ColdStart    Millis   // time in which a cold target grows to its full share
+	ZoneDelay    Millis   // one-way delay between availability zones, for spill-over
+}
+
+// Target describes what one target instance can do. Its name is the name of the instance.
+type Target struct {
+	Name         string
+	Service      string
+	Zone         string
+	Capabilities []string
+	Slots        int // calls that it can run at once
+	Conns        int // connections that it accepts
+}
+
+// Class describes one kind of request.
+type Class struct {
+	Name            string
+	Importance      Importance
+	Deadline        Millis // for a request that states no remaining time
+	Repeatable      bool
+	Capabilities    map[string][]string // that a target needs to serve the class, by service
+	Service         string              // entry service
+	Uses            []string            // services that a request of the class touches, the entry service included
+	LateIsWorthless bool                // an answer after the deadline has no value
+	AnswerBytes     int64               // expected size of the answer
+	Allowance       int                 // retries of one user request over the whole chain
+}
+
+// Tenant limits the share of one customer.
+type Tenant struct {
+	Name  string
+	Share float64 // of a target's slots under overload, from 0 to 1; 0 means no limit
+}
--- /dev/null
+++ b/verbs/main.go
@@ -0,0 +1,61 @@
+// Package verbs holds the subcommands of gypsumrail, one in each file, so that
+// the command itself stays a thin main and each verb can be tested as a
+// function of its arguments and streams.
+package verbs
+
+import (
+	"fmt"
+	"io"
+)
+
+// Exit codes of all subcommands.
+const (
+	ExitOK       = 0 // success
+	ExitNotMet   = 1 // a check or a stated outcome was not met
+	ExitBadInput = 2 // bad input or usage
+)
+
+// verb is one subcommand.
+type verb struct {
+	name  string
+	usage string // one line for the list of verbs
+	run   func(args []string, out, errOut io.Writer) int
+}
+
+// verbs lists the subcommands in the order of the help text.
+func verbTable() []verb {
+	return []verb{
+		{"version", "print the version", runVersion},
+		{"help", "print this list", runHelp},
+	}
+}
+
+// Main runs the subcommand that args name and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	if len(args) == 0 {
+		writeHelp(errOut)
+		return ExitBadInput
+	}
+	for _, v := range verbTable() {
+		if v.name == args[0] {
+			return v.run(args[1:], out, errOut)
+		}
+	}
+	fmt.Fprintf(errOut, "gypsumrail: unknown command %q; 'gypsumrail help' lists the commands\n", args[0])
+	return ExitBadInput
+}
+
+func runHelp(_ []string, out, _ io.Writer) int {
+	writeHelp(out)
+	return ExitOK
+}
+
+func writeHelp(w io.Writer) {
+	fmt.Fprintln(w, "Usage: gypsumrail COMMAND [OPTIONS]")
+	fmt.Fprintln(w)
+	for _, v := range verbTable() {
+		fmt.Fprintf(w, "  %-10s %s\n", v.name, v.usage)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "'gypsumrail COMMAND --help' describes the options of a command.")
+}
