--- a/effect.go
+++ b/effect.go
@@ -17,6 +17,7 @@
 	Tickets       EffectKind = "Tickets"       // Call, Keys, or Reason if there are none
 	SendExchange  EffectKind = "SendExchange"  // To, Exchange; for an answer To is the asking peer
 	Pull          EffectKind = "Pull"          // To, Value: fetch the content of a value from a peer
+	Adopt         EffectKind = "Adopt"         // Value: the content read with this version is in force; serve it to peers
 	Watch         EffectKind = "Watch"         // On: start or stop watching the platform
 	Log           EffectKind = "Log"           // Notice, Subject, Reason
 	Stop          EffectKind = "Stop"          // the drain is complete
