Add the admission queue

A list per importance gives the newest call, a Fenwick tree over the levels answers Ahead.

- Importance stays strict.
- Tenants compete only within one importance and only for the room in the queue: a tenant with more than half of the least importance's calls loses a call first.
Sharing slots between tenants is left to the records' Share.
- Ahead takes no invested work, so it counts by level alone.

--- /dev/null
+++ b/queue/counts.go
@@ -0,0 +1,58 @@
+package queue
+
+import "github.com/gypsumrail/gypsumrail"
+
+// levelCounts counts the queued calls by level in a Fenwick tree, so that the
+// number of calls at or above a level is known without a walk over the queue.
+type levelCounts [gypsumrail.LevelMax + 1]int32
+
+func (c *levelCounts) add(level gypsumrail.Level, n int32) {
+	for i := int(level) + 1; i < len(c); i += i & -i {
+		c[i] += n
+	}
+}
+
+// below returns the number of calls whose level is lower.
+func (c *levelCounts) below(level gypsumrail.Level) int {
+	sum := int32(0)
+	for i := int(level); i > 0; i -= i & -i {
+		sum += c[i]
+	}
+	return int(sum)
+}
+
+func clampLevel(level gypsumrail.Level) gypsumrail.Level {
+	return min(max(level, 0), gypsumrail.LevelMax-1)
+}
+
+// tenantCounts counts the calls of each tenant within one importance. It has at
+// most one entry per queued call.
+type tenantCounts struct {
+	total    int
+	byTenant map[string]int
+	largest  string // tenant that last held more than half when one of its calls was added
+}
+
+func (c *tenantCounts) add(tenant string) {
+	c.total++
+	n := c.byTenant[tenant] + 1
+	c.byTenant[tenant] = n
+	if 2*n > c.total {
+		c.largest = tenant
+	}
+}
+
+func (c *tenantCounts) remove(tenant string) {
+	c.total--
+	if n := c.byTenant[tenant]; n > 1 {
+		c.byTenant[tenant] = n - 1
+	} else {
+		delete(c.byTenant, tenant)
+	}
+}
+
+// majority returns the tenant that holds more than half of several calls. A
+// tenant that got there because others left is seen at its next added call.
+func (c *tenantCounts) majority() (string, bool) {
+	return c.largest, c.total > 1 && 2*c.byTenant[c.largest] > c.total
+}
--- /dev/null
+++ b/queue/entry.go
@@ -0,0 +1,63 @@
+package queue
+
+import "github.com/gypsumrail/gypsumrail"
+
+// entry is one queued call. Entries are reused, so the queue allocates only
+// while it grows.
+type entry struct {
+	call       gypsumrail.Waiting
+	importance int
+	sequence   uint64 // order of arrival in the queue
+	older      *entry // neighbours of the same importance by arrival
+	newer      *entry
+}
+
+// runsBefore orders by importance, invested work, hash part and arrival.
+func runsBefore(a, b *entry) bool {
+	switch {
+	case a.importance != b.importance:
+		return a.importance > b.importance
+	case a.call.Invested != b.call.Invested:
+		return a.call.Invested > b.call.Invested
+	case a.call.Level != b.call.Level:
+		return a.call.Level > b.call.Level
+	}
+	return a.sequence < b.sequence
+}
+
+// endsBefore orders by deadline.
+func endsBefore(a, b *entry) bool {
+	if a.call.Deadline != b.call.Deadline {
+		return a.call.Deadline < b.call.Deadline
+	}
+	return a.sequence < b.sequence
+}
+
+// arrivals lists the calls of one importance by arrival.
+type arrivals struct {
+	oldest, newest *entry
+}
+
+func (l *arrivals) add(e *entry) {
+	e.older, e.newer = l.newest, nil
+	if l.newest != nil {
+		l.newest.newer = e
+	} else {
+		l.oldest = e
+	}
+	l.newest = e
+}
+
+func (l *arrivals) remove(e *entry) {
+	if e.older != nil {
+		e.older.newer = e.newer
+	} else {
+		l.oldest = e.newer
+	}
+	if e.newer != nil {
+		e.newer.older = e.older
+	} else {
+		l.newest = e.older
+	}
+	e.older, e.newer = nil, nil
+}
