Parse and validate record sets

Objects are read member by member instead of into structs: encoding/json ignores the case of names, keeps the last of two equal names and stops at the first unknown name.

--- /dev/null
+++ b/record/object.go
@@ -0,0 +1,53 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// member is one name and value of a JSON object.
+type member struct {
+	name string
+	raw  json.RawMessage
+}
+
+// members reads a JSON object in its order. It is used instead of decoding into
+// a struct because encoding/json ignores the case of names, keeps the last of
+// two equal names without notice, and stops at the first unknown name. The data
+// must be valid JSON.
+func members(raw json.RawMessage) (list []member, duplicates []string, ok bool) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	start, err := decoder.Token()
+	if err != nil || start != json.Delim('{') {
+		return nil, nil, false
+	}
+	seen := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return nil, nil, false
+		}
+		name, isName := token.(string)
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil || !isName {
+			return nil, nil, false
+		}
+		if seen[name] {
+			duplicates = append(duplicates, name)
+			continue
+		}
+		seen[name] = true
+		list = append(list, member{name, value})
+	}
+	return list, duplicates, true
+}
+
+// find returns the value of a name, or nil.
+func find(list []member, name string) json.RawMessage {
+	for _, m := range list {
+		if m.name == name {
+			return m.raw
+		}
+	}
+	return nil
+}
