--- a/record/parse.go
+++ b/record/parse.go
@@ -79,7 +79,7 @@
 
 func (p *parser) parse(data []byte) {
 	if len(data) > SizeMax {
-		p.faultSet("", problemf(ReasonSize, "the set has %d bytes, more than %d", len(data), SizeMax))
+		p.faultSet("", problemf(ReasonSize, "the set is larger than %d bytes", SizeMax))
 		return
 	}
 	var raw json.RawMessage
