Add the headers and problem bodies of calls (wire)

Numbers have one spelling and a range; reports and node descriptions are Name=value lists in which unknown members are ignored, so that a newer node can add one while a fleet is upgraded.

Gypsumrail-Reason travels beside Gypsumrail-Outcome on refusals between nodes, so that a sender need not read and parse a body to know why.

--- /dev/null
+++ b/wire/answer.go
@@ -0,0 +1,240 @@
+package wire
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// The largest numbers that a report may state.
+const (
+	slotsMax = 1 << 20
+	ageMax   = gypsumrail.Minute
+)
+
+// FormatNode describes an instance in the form that ParseNode reads.
+func FormatNode(i gypsumrail.Instance) string {
+	return fmt.Sprintf("Name=%s, Service=%s, Zone=%s, Address=%s, Incarnation=%d, Version=%d, State=%s",
+		i.Name, i.Service, i.Zone, i.Address, i.Incarnation, i.Version, i.State)
+}
+
+// ParseNode reads the description of an instance.
+func ParseNode(value string) (gypsumrail.Instance, error) {
+	m, err := pairs(HeaderNode, value)
+	if err != nil {
+		return gypsumrail.Instance{}, err
+	}
+	p := &members{header: HeaderNode, values: m}
+	i := gypsumrail.Instance{
+		Name:        p.name("Name"),
+		Service:     p.name("Service"),
+		Zone:        p.name("Zone"),
+		Address:     m["Address"],
+		Incarnation: gypsumrail.Incarnation(p.unsigned("Incarnation", 64)),
+		Version:     p.unsigned("Version", 64),
+		State:       gypsumrail.State(m["State"]),
+	}
+	if !ValidAddress(i.Address) {
+		p.fail("Address")
+	}
+	if !ValidState(i.State) {
+		p.fail("State")
+	}
+	if p.err != nil {
+		return gypsumrail.Instance{}, p.err
+	}
+	return i, nil
+}
+
+// ValidState tells whether a state is one of those that instances have.
+func ValidState(state gypsumrail.State) bool {
+	return state == gypsumrail.Live || state == gypsumrail.Suspect || state == gypsumrail.Leaving
+}
+
+// ValidAddress tells whether an address is an IP address and a port.
+func ValidAddress(address string) bool {
+	if len(address) > addressMax {
+		return false
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+// ValidName tells whether a value can be the name of a service, class, tenant, zone or instance.
+func ValidName(value string) bool { return validName(value) }
+
+// SetAnswer sets the headers of an answer to another node.
+func SetAnswer(h http.Header, attemptID string, result gypsumrail.Result) {
+	set(h, HeaderAttemptID, attemptID)
+	set(h, HeaderOutcome, string(result.Outcome))
+	set(h, HeaderReason, string(result.Reason))
+	setNumber(h, HeaderAllowanceLeft, int64(result.AllowanceLeft), 0, allowanceMax)
+	if result.Report != nil {
+		h.Set(HeaderReport, formatReport(result.Report))
+	}
+	if len(result.Hints) > 0 {
+		h.Set(HeaderHints, formatHints(result.Hints))
+	}
+}
+
+// ParseAnswer reads the headers of an answer from another node. An error means
+// that the answer does not belong to the attempt or cannot be trusted.
+func ParseAnswer(attemptID string, status int, h http.Header) (gypsumrail.Result, error) {
+	f := &fields{header: h}
+	if got := f.one(HeaderAttemptID, true); f.err == nil && got != attemptID {
+		f.fail(HeaderAttemptID, "belongs to another attempt")
+	}
+	result := gypsumrail.Result{
+		Status:        status,
+		Outcome:       gypsumrail.Outcome(f.one(HeaderOutcome, true)),
+		Reason:        gypsumrail.Reason(f.name(HeaderReason, false)),
+		AllowanceLeft: int(f.number(HeaderAllowanceLeft, 0, allowanceMax, 0, true)),
+	}
+	if f.err == nil && !validOutcome(result.Outcome) {
+		f.fail(HeaderOutcome, "must be NotRun, Ran or Unknown")
+	}
+	if seconds, ok := parseNumber(h.Get("Retry-After"), 0, 3600); ok {
+		result.RetryAfter = gypsumrail.Millis(seconds) * gypsumrail.Second
+	}
+	if value := f.one(HeaderReport, false); value != "" && f.err == nil {
+		result.Report, f.err = parseReport(value)
+	}
+	if value := f.one(HeaderHints, false); value != "" && f.err == nil {
+		result.Hints, f.err = parseHints(value)
+	}
+	if f.err != nil {
+		return gypsumrail.Result{}, f.err
+	}
+	return result, nil
+}
+
+// ParseLoad reads a target's load report. It is only a hint, so a malformed one is ignored.
+func ParseLoad(h http.Header) (slots, busy int, ok bool) {
+	left, right, found := strings.Cut(h.Get(HeaderLoad), "/")
+	if !found {
+		return 0, 0, false
+	}
+	b, okBusy := parseNumber(left, 0, slotsMax)
+	s, okSlots := parseNumber(right, 1, slotsMax)
+	return int(s), int(b), okBusy && okSlots
+}
+
+func validOutcome(o gypsumrail.Outcome) bool {
+	return o == gypsumrail.NotRun || o == gypsumrail.Ran || o == gypsumrail.Unknown
+}
+
+func formatReport(r *gypsumrail.Report) string {
+	return fmt.Sprintf("Instance=%s, Incarnation=%d, Sequence=%d, Limit=%d, InFlight=%d, Queued=%d, Threshold=%d, Epoch=%d, Leaving=%t",
+		r.Instance, r.Incarnation, r.Sequence, r.Limit, r.InFlight, r.Queued, r.Threshold, r.Epoch, r.Leaving)
+}
+
+func parseReport(value string) (*gypsumrail.Report, error) {
+	m, err := pairs(HeaderReport, value)
+	if err != nil {
+		return nil, err
+	}
+	p := &members{header: HeaderReport, values: m}
+	r := &gypsumrail.Report{
+		Instance:    p.name("Instance"),
+		Incarnation: gypsumrail.Incarnation(p.unsigned("Incarnation", 64)),
+		Sequence:    p.unsigned("Sequence", 64),
+		Limit:       p.number("Limit", slotsMax),
+		InFlight:    p.number("InFlight", slotsMax),
+		Queued:      p.number("Queued", slotsMax),
+		Threshold:   gypsumrail.Level(p.number("Threshold", int64(gypsumrail.LevelMax))),
+		Epoch:       uint32(p.unsigned("Epoch", 32)),
+		Leaving:     m["Leaving"] == "true",
+	}
+	if m["Leaving"] != "true" && m["Leaving"] != "false" {
+		p.fail("Leaving")
+	}
+	if p.err != nil {
+		return nil, p.err
+	}
+	return r, nil
+}
+
+func formatHints(hints []gypsumrail.Hint) string {
+	var b strings.Builder
+	for i, hint := range hints[:min(len(hints), HintsMax)] {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		age := min(max(hint.Age, 0), ageMax)
+		fmt.Fprintf(&b, "%s:%d:%d", hint.Service, hint.Threshold, age)
+	}
+	return b.String()
+}
+
+func parseHints(value string) ([]gypsumrail.Hint, error) {
+	parts := strings.SplitN(value, ",", HintsMax+1)
+	if len(parts) > HintsMax {
+		return nil, &FieldError{Field: HeaderHints, Problem: fmt.Sprintf("has more than %d entries", HintsMax)}
+	}
+	hints := make([]gypsumrail.Hint, 0, len(parts))
+	for _, part := range parts {
+		members := strings.Split(strings.TrimSpace(part), ":")
+		malformed := &FieldError{Field: HeaderHints, Problem: "must be a list of service:threshold:age"}
+		if len(members) != 3 || !validName(members[0]) {
+			return nil, malformed
+		}
+		threshold, okThreshold := parseNumber(members[1], 0, int64(gypsumrail.LevelMax))
+		age, okAge := parseNumber(members[2], 0, int64(ageMax))
+		if !okThreshold || !okAge {
+			return nil, malformed
+		}
+		hints = append(hints, gypsumrail.Hint{
+			Service: members[0], Threshold: gypsumrail.Level(threshold), Age: gypsumrail.Millis(age),
+		})
+	}
+	return hints, nil
+}
+
+// members reads the members of a header made of Name=value pairs and keeps the first fault.
+type members struct {
+	header string
+	values map[string]string
+	err    error
+}
+
+func (p *members) fail(member string) {
+	if p.err == nil {
+		p.err = &FieldError{Field: p.header, Problem: "has a missing or malformed member " + member}
+	}
+}
+
+func (p *members) name(member string) string {
+	value := p.values[member]
+	if !validName(value) {
+		p.fail(member)
+	}
+	return value
+}
+
+func (p *members) number(member string, high int64) int {
+	n, ok := parseNumber(p.values[member], 0, high)
+	if !ok {
+		p.fail(member)
+	}
+	return int(n)
+}
+
+func (p *members) unsigned(member string, bits int) uint64 {
+	n, err := strconv.ParseUint(p.values[member], 10, bits)
+	if err != nil {
+		p.fail(member)
+	}
+	return n
+}
