Add the control messages between nodes (peer)

A Twirp service with Exchange, Pull and Resolve. Adapters translate to the plain data of the root package, and Twirp's errors to four of the package's own, so that the rest of the node knows neither protobuf nor Twirp.

Entries that do not fit into 64 KB are left out of a message: the digests keep differing, so the next exchange carries them.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT_VERSION := v2.15.0
 LINT := .bin/golangci-lint
 
-.PHONY: test race lint vet traces bench tools
+.PHONY: test race lint vet traces bench tools generate
 
 # The command that the README names and that CI runs first.
 test:
@@ -28,3 +28,8 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Regenerates the code of peer/control.proto. The generated code is committed, so only a
+# change of the protocol needs protoc, protoc-gen-go and protoc-gen-twirp (v8.1.3) in PATH.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/control.proto
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// Limits of the lists in an exchange. A bucket holds about a sixteenth of the
+// directory, and a message up to 32 rumors besides; the byte limit binds first
+// for long names.
+const (
+	entriesMax = 1024
+	valuesMax  = 16
+)
+
+func toInstance(i gypsumrail.Instance) *InstanceMessage {
+	return &InstanceMessage{
+		Name: i.Name, Service: i.Service, Zone: i.Zone, Address: i.Address,
+		Incarnation: uint64(i.Incarnation), Version: i.Version, State: string(i.State),
+	}
+}
+
+func fromInstance(m *InstanceMessage) (gypsumrail.Instance, error) {
+	i := gypsumrail.Instance{
+		Name: m.GetName(), Service: m.GetService(), Zone: m.GetZone(), Address: m.GetAddress(),
+		Incarnation: gypsumrail.Incarnation(m.GetIncarnation()), Version: m.GetVersion(), State: gypsumrail.State(m.GetState()),
+	}
+	if !wire.ValidName(i.Name) || !wire.ValidName(i.Service) || !wire.ValidName(i.Zone) || !wire.ValidAddress(i.Address) || !wire.ValidState(i.State) {
+		return gypsumrail.Instance{}, fmt.Errorf("%w: instance %.64q has a malformed field", ErrMalformed, i.Name)
+	}
+	return i, nil
+}
+
+func toValue(v gypsumrail.ValueVersion) *ValueMessage {
+	return &ValueMessage{Name: string(v.Name), Revision: uint64(v.Revision), Hash: v.Hash}
+}
+
+func fromValue(m *ValueMessage) (gypsumrail.ValueVersion, error) {
+	v := gypsumrail.ValueVersion{Name: gypsumrail.ValueName(m.GetName()), Revision: gypsumrail.Revision(m.GetRevision()), Hash: m.GetHash()}
+	if !wire.ValidName(string(v.Name)) {
+		return gypsumrail.ValueVersion{}, fmt.Errorf("%w: value has a malformed name", ErrMalformed)
+	}
+	return v, nil
+}
+
+// toExchange builds a message. Entries beyond the limit are left out; the next
+// exchange carries them, because the digests still differ.
+func toExchange(e gypsumrail.Exchange) *ExchangeMessage {
+	m := &ExchangeMessage{
+		From: toInstance(e.From), Answer: e.Answer,
+		Buckets: e.Digest.Buckets[:],
+	}
+	for _, v := range e.Digest.Values[:min(len(e.Digest.Values), valuesMax)] {
+		m.Values = append(m.Values, toValue(v))
+	}
+	// Half of the size limit leaves room for the digests and the framing.
+	room := ExchangeMax / 2
+	for _, entry := range e.Entries[:min(len(e.Entries), entriesMax)] {
+		room -= len(entry.Name) + len(entry.Service) + len(entry.Zone) + len(entry.Address) + len(entry.State) + 40
+		if room < 0 {
+			break
+		}
+		m.Entries = append(m.Entries, toInstance(entry))
+	}
+	return m
+}
+
+func fromExchange(m *ExchangeMessage) (gypsumrail.Exchange, error) {
+	e := gypsumrail.Exchange{Answer: m.GetAnswer()}
+	var err error
+	if e.From, err = fromInstance(m.GetFrom()); err != nil {
+		return gypsumrail.Exchange{}, err
+	}
+	if len(m.GetBuckets()) != gypsumrail.DigestBuckets || len(m.GetValues()) > valuesMax || len(m.GetEntries()) > entriesMax {
+		return gypsumrail.Exchange{}, fmt.Errorf("%w: %d buckets, %d values, %d entries", ErrMalformed,
+			len(m.GetBuckets()), len(m.GetValues()), len(m.GetEntries()))
+	}
+	copy(e.Digest.Buckets[:], m.GetBuckets())
+	for _, vm := range m.GetValues() {
+		v, err := fromValue(vm)
+		if err != nil {
+			return gypsumrail.Exchange{}, err
+		}
+		e.Digest.Values = append(e.Digest.Values, v)
+	}
+	for _, im := range m.GetEntries() {
+		i, err := fromInstance(im)
+		if err != nil {
+			return gypsumrail.Exchange{}, err
+		}
+		e.Entries = append(e.Entries, i)
+	}
+	return e, nil
+}
--- a/wire/answer.go
+++ b/wire/answer.go
@@ -102,7 +102,7 @@
 		Reason:        gypsumrail.Reason(f.name(HeaderReason, false)),
 		AllowanceLeft: int(f.number(HeaderAllowanceLeft, 0, allowanceMax, 0, true)),
 	}
-	if f.err == nil && !validOutcome(result.Outcome) {
+	if f.err == nil && !ValidOutcome(result.Outcome) {
 		f.fail(HeaderOutcome, "must be NotRun, Ran or Unknown")
 	}
 	if seconds, ok := parseNumber(h.Get("Retry-After"), 0, 3600); ok {
@@ -131,7 +131,8 @@
 	return int(s), int(b), okBusy && okSlots
 }
 
-func validOutcome(o gypsumrail.Outcome) bool {
+// ValidOutcome tells whether an outcome is one of those that calls have.
+func ValidOutcome(o gypsumrail.Outcome) bool {
 	return o == gypsumrail.NotRun || o == gypsumrail.Ran || o == gypsumrail.Unknown
 }
 
