--- /dev/null
+++ b/trace/check.go
@@ -0,0 +1,300 @@
+package trace
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Ranges of a scenario. They bound the memory and the time of a replay.
+const (
+	maxUntil   = 10 * gypsumrail.Minute
+	maxRate    = 100_000
+	maxCalls   = 5_000_000 // user requests of one scenario
+	maxRetries = 100
+	maxDepth   = 16
+	maxFactor  = 1000
+	maxMillis  = 600_000
+	maxTree    = 256 // calls of one user request
+)
+
+var eventKinds = []gypsumrail.EventKind{
+	gypsumrail.CallArrived, gypsumrail.CallerGone, gypsumrail.AttemptAnswered, gypsumrail.AttemptFailed,
+	gypsumrail.AnswerDone, gypsumrail.TargetAnswered, gypsumrail.TargetFailed, gypsumrail.TargetDone,
+	gypsumrail.TargetReported, gypsumrail.Tick, gypsumrail.RecordsRead, gypsumrail.InstancesRead,
+	gypsumrail.Exchanged, gypsumrail.PeerFailed, gypsumrail.PeerCalled, gypsumrail.ResolveAsked,
+	gypsumrail.Resolved, gypsumrail.TicketsAsked, gypsumrail.DrainAsked,
+}
+
+var measures = []Measure{
+	WeightedShare, InversionShare, RetriesOver, Recovery, RunsMax, RunAfterNotRun, BaselineShare,
+}
+
+func knownEvent(kind gypsumrail.EventKind) bool { return slices.Contains(eventKinds, kind) }
+
+// within tells whether a number is in a range; it is false for NaN.
+func within(x, low, high float64) bool { return x >= low && x <= high }
+
+func (s Span) check(until gypsumrail.Millis) error {
+	if s.From < 0 || s.Until <= s.From || s.Until > until {
+		return fmt.Errorf("the span from %d until %d is empty or outside 0 to %d", s.From, s.Until, until)
+	}
+	return nil
+}
+
+func (h *Header) check() error {
+	switch h.Kind {
+	case KindNode:
+		if h.Self.Name == "" {
+			return errors.New("a Node trace needs Self")
+		}
+		return nil
+	case KindScenario:
+	default:
+		return fmt.Errorf("unknown Kind %q; known are Node and Scenario", h.Kind)
+	}
+	if h.Records == nil {
+		return errors.New("a Scenario needs Records or RecordsFile")
+	}
+	if err := checkRecords(h.Records); err != nil {
+		return err
+	}
+	if h.Until <= 0 || h.Until > maxUntil {
+		return fmt.Errorf("length Until is %d; the range is 1 to %d", h.Until, maxUntil)
+	}
+	for _, d := range []float64{h.Delays.LocalMillis, h.Delays.ZoneMillis, h.Delays.ClientMillis} {
+		if !within(d, 0, 10_000) {
+			return fmt.Errorf("a delay is %v ms; the range is 0 to 10000", d)
+		}
+	}
+	if h.Trigger != (Span{}) {
+		if err := h.Trigger.check(h.Until); err != nil {
+			return fmt.Errorf("field Trigger: %w", err)
+		}
+	}
+	for i, o := range h.Outcomes {
+		if !slices.Contains(measures, o.Measure) {
+			return fmt.Errorf("outcome %d has the unknown Measure %q", i, o.Measure)
+		}
+		if (o.AtLeast == nil) == (o.AtMost == nil) {
+			return fmt.Errorf("outcome %d needs exactly one of AtLeast and AtMost", i)
+		}
+	}
+	return nil
+}
+
+func checkRecords(records *gypsumrail.Records) error {
+	for name, service := range records.Services {
+		if service == nil || service.Name != name {
+			return fmt.Errorf("field Records: service %q is empty or has another name", name)
+		}
+	}
+	for name, target := range records.Targets {
+		if target == nil || target.Name != name || records.Services[target.Service] == nil {
+			return fmt.Errorf("field Records: target %q is empty, has another name or an unknown service", name)
+		}
+		if target.Slots < 1 || target.Conns < target.Slots || target.Conns > 1_000_000 {
+			return fmt.Errorf("field Records: target %q needs 1 <= Slots <= Conns <= 1000000", name)
+		}
+	}
+	for name, class := range records.Classes {
+		if class == nil || class.Name != name || records.Services[class.Service] == nil {
+			return fmt.Errorf("field Records: class %q is empty, has another name or an unknown service", name)
+		}
+	}
+	return nil
+}
+
+func (f *File) addLine(l *Line) error {
+	set := 0
+	var err error
+	if l.Phase != nil {
+		set++
+		err = f.addPhase(l.Phase)
+	}
+	if l.Calls != nil {
+		set++
+		err = f.addCalls(l.Calls)
+	}
+	if l.Work != nil {
+		set++
+		err = f.addWork(l.Work)
+	}
+	if l.Fault != nil {
+		set++
+		err = f.addFault(l.Fault)
+	}
+	if set != 1 {
+		return errors.New("a line needs exactly one of Phase, Calls, Work and Fault")
+	}
+	return err
+}
+
+func (f *File) addPhase(p *Phase) error {
+	records := f.Header.Records
+	if records.Classes[p.Class] == nil {
+		return fmt.Errorf("unknown class %q", p.Class)
+	}
+	if p.Tenant != "" && records.Tenants[p.Tenant] == nil {
+		return fmt.Errorf("unknown tenant %q", p.Tenant)
+	}
+	if !f.hasZone(p.Zone) {
+		return fmt.Errorf("no target is in zone %q", p.Zone)
+	}
+	if !within(p.Rate, 0, maxRate) {
+		return fmt.Errorf("field Rate is %v; the range is 0 to %d", p.Rate, maxRate)
+	}
+	if p.Deadline <= 0 || p.Deadline > maxMillis || p.Timeout < 0 || p.Timeout > p.Deadline ||
+		p.Backoff < 0 || p.Backoff > maxMillis {
+		return errors.New("field Deadline, Timeout or Backoff is out of range")
+	}
+	if p.Retries < 0 || p.Retries > maxRetries {
+		return fmt.Errorf("field Retries is %d; the range is 0 to %d", p.Retries, maxRetries)
+	}
+	if err := (Span{p.From, p.Until}).check(f.Header.Until); err != nil {
+		return err
+	}
+	f.Phases = append(f.Phases, *p)
+	return nil
+}
+
+func (f *File) hasZone(zone string) bool {
+	for _, t := range f.Header.Records.Targets {
+		if t.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *File) addCalls(c *Calls) error {
+	records := f.Header.Records
+	service := records.Services[c.Service]
+	if service == nil || records.Classes[c.Class] == nil {
+		return fmt.Errorf("unknown class %q or service %q", c.Class, c.Service)
+	}
+	if f.StepsOf(c.Class, c.Service) != nil {
+		return fmt.Errorf("class %q has two lines of Calls for service %q", c.Class, c.Service)
+	}
+	for _, step := range c.Steps {
+		for _, name := range step {
+			if !slices.Contains(service.Dependencies, name) {
+				return fmt.Errorf("service %q is not a dependency of %q in the records", name, c.Service)
+			}
+		}
+	}
+	f.Calls = append(f.Calls, *c)
+	return nil
+}
+
+func (f *File) addWork(w *Work) error {
+	records := f.Header.Records
+	if records.Services[w.Service] == nil || (w.Class != "" && records.Classes[w.Class] == nil) {
+		return fmt.Errorf("unknown class %q or service %q", w.Class, w.Service)
+	}
+	if !within(w.MeanMillis, 0, maxMillis) || !within(w.Sigma, 0, 3) {
+		return errors.New("field MeanMillis or Sigma is out of range")
+	}
+	if !slices.Contains([]Spread{Fixed, Exponential, Lognormal}, w.Spread) {
+		return fmt.Errorf("unknown Spread %q", w.Spread)
+	}
+	f.Work = append(f.Work, *w)
+	return nil
+}
+
+func (f *File) addFault(fault *Fault) error {
+	records := f.Header.Records
+	if records.Services[fault.Service] == nil {
+		return fmt.Errorf("unknown service %q", fault.Service)
+	}
+	if t := records.Targets[fault.Target]; fault.Target != "" && (t == nil || t.Service != fault.Service) {
+		return fmt.Errorf("service %q has no target %q", fault.Service, fault.Target)
+	}
+	switch fault.Kind {
+	case Slow, Restart:
+		if !within(fault.Factor, 1, maxFactor) {
+			return fmt.Errorf("field Factor is %v; the range is 1 to %d", fault.Factor, maxFactor)
+		}
+	case FewerSlots, ReportFalse:
+		if fault.Slots < 1 || fault.Busy < 0 || fault.Slots > math.MaxInt32 || fault.Busy > math.MaxInt32 {
+			return errors.New("field Slots or Busy is out of range")
+		}
+	case Down, ReportFrozen, Refuses:
+	default:
+		return fmt.Errorf("unknown kind of fault %q", fault.Kind)
+	}
+	if err := (Span{fault.From, fault.Until}).check(f.Header.Until); err != nil {
+		return err
+	}
+	f.Faults = append(f.Faults, *fault)
+	return nil
+}
+
+// checkWhole checks what needs all lines: that every request of the workload
+// has a finite call tree with known service times.
+func (f *File) checkWhole() error {
+	if f.Header.Kind != KindScenario {
+		return nil
+	}
+	requests := 0.0
+	for i := range f.Phases {
+		p := &f.Phases[i]
+		requests += p.Rate * float64(p.Until-p.From) / 1000
+		calls := 0
+		if err := f.checkTree(p.Class, f.Header.Records.Classes[p.Class].Service, 1, &calls); err != nil {
+			return err
+		}
+	}
+	if requests > maxCalls {
+		return fmt.Errorf("the phases have %.0f requests; the limit is %d", requests, maxCalls)
+	}
+	return nil
+}
+
+func (f *File) checkTree(class, service string, depth int, calls *int) error {
+	*calls++
+	if depth > maxDepth || *calls > maxTree {
+		return fmt.Errorf("the calls of class %q are deeper than %d or more than %d", class, maxDepth, maxTree)
+	}
+	if f.WorkOf(class, service) == nil {
+		return fmt.Errorf("class %q has no Work for service %q", class, service)
+	}
+	for _, step := range f.StepsOf(class, service) {
+		for _, name := range step {
+			if err := f.checkTree(class, name, depth+1, calls); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StepsOf returns the outgoing calls of a service for a class, nil if there are none.
+func (f *File) StepsOf(class, service string) [][]string {
+	for i := range f.Calls {
+		if f.Calls[i].Class == class && f.Calls[i].Service == service {
+			return f.Calls[i].Steps
+		}
+	}
+	return nil
+}
+
+// WorkOf returns the service time of a service for a class: its own line, else
+// the line for every class, else nil.
+func (f *File) WorkOf(class, service string) *Work {
+	var general *Work
+	for i := range f.Work {
+		if w := &f.Work[i]; w.Service == service {
+			if w.Class == class {
+				return w
+			}
+			if w.Class == "" {
+				general = w
+			}
+		}
+	}
+	return general
+}
--- /dev/null
+++ b/trace/reader.go
@@ -0,0 +1,152 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Bounds of a trace. A platform value is at most 1 MB, so a line can hold
+// inline records; a node under 10,000 calls a second writes about 100 MB of
+// events in ten seconds.
+const (
+	MaxLineBytes     = 2 << 20
+	MaxFileBytes     = 128 << 20
+	MaxScenarioLines = 10_000
+)
+
+// Error is a fault in a trace with the place where it was found.
+type Error struct {
+	Name string // of the file
+	Line int    // from 1
+	Err  error
+}
+
+// Error returns the place and the fault.
+func (e *Error) Error() string { return fmt.Sprintf("%s:%d: %v", e.Name, e.Line, e.Err) }
+
+// Unwrap returns the fault without its place.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Loader returns the records of a path that a header names.
+type Loader func(path string) (*gypsumrail.Records, error)
+
+// Open reads a trace file. The loader gets paths relative to the working directory.
+func Open(path string, load Loader) (*File, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("trace: %w", err)
+	}
+	defer f.Close() //nolint:errcheck // Nothing was written.
+	return Read(f, path, func(records string) (*gypsumrail.Records, error) {
+		return load(filepath.Join(filepath.Dir(path), records))
+	})
+}
+
+// Read reads a trace. Errors name the line. The loader is called with the
+// RecordsFile of the header, if it has one.
+func Read(r io.Reader, name string, load Loader) (*File, error) {
+	limited := &io.LimitedReader{R: r, N: MaxFileBytes + 1}
+	scanner := bufio.NewScanner(limited)
+	scanner.Buffer(make([]byte, 0, 64<<10), MaxLineBytes)
+	file := &File{}
+	line := 0
+	at := func(err error) error { return &Error{Name: name, Line: line, Err: err} }
+	for scanner.Scan() {
+		line++
+		if limited.N <= 0 {
+			return nil, at(fmt.Errorf("the file is larger than %d bytes", MaxFileBytes))
+		}
+		if err := file.readLine(line, scanner.Bytes(), load); err != nil {
+			return nil, at(err)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		line++
+		if errors.Is(err, bufio.ErrTooLong) {
+			err = fmt.Errorf("the line is longer than %d bytes", MaxLineBytes)
+		}
+		return nil, at(err)
+	}
+	if line == 0 {
+		line = 1
+		return nil, at(errors.New("the header is missing"))
+	}
+	if err := file.checkWhole(); err != nil {
+		return nil, at(err)
+	}
+	return file, nil
+}
+
+func (f *File) readLine(line int, text []byte, load Loader) error {
+	if line == 1 {
+		return f.readHeader(text, load)
+	}
+	if f.Header.Kind == KindNode {
+		var event gypsumrail.Event
+		if err := decode(text, &event); err != nil {
+			return err
+		}
+		if !knownEvent(event.Kind) {
+			return fmt.Errorf("unknown kind of event %q", event.Kind)
+		}
+		f.Events = append(f.Events, event)
+		return nil
+	}
+	if line > MaxScenarioLines {
+		return fmt.Errorf("a scenario has at most %d lines", MaxScenarioLines)
+	}
+	var l Line
+	if err := decode(text, &l); err != nil {
+		return err
+	}
+	return f.addLine(&l)
+}
+
+func (f *File) readHeader(text []byte, load Loader) error {
+	// The version comes first: a newer format may have fields that this version does not know.
+	var version struct{ FormatVersion int }
+	if err := json.Unmarshal(text, &version); err != nil {
+		return err
+	}
+	if version.FormatVersion != FormatVersion {
+		return fmt.Errorf("field FormatVersion is %d; this version reads %d", version.FormatVersion, FormatVersion)
+	}
+	if err := decode(text, &f.Header); err != nil {
+		return err
+	}
+	if h := &f.Header; h.RecordsFile != "" {
+		if h.Records != nil {
+			return errors.New("the header has both Records and RecordsFile")
+		}
+		records, err := load(h.RecordsFile)
+		if err != nil {
+			return fmt.Errorf("field RecordsFile: %w", err)
+		}
+		h.Records = records
+	}
+	return f.Header.check()
+}
+
+// decode reads exactly one JSON value without unknown fields.
+func decode(text []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		if errors.Is(err, io.EOF) {
+			return errors.New("the line is empty")
+		}
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("the line has text after its value")
+	}
+	return nil
+}
