Add the reducer of a node

The sender role admits, routes and retries calls within the allowance of the user request; the receiver role admits, queues and runs them on the target. Keyed calls go only to the home that their key names, and a lost attempt is resolved there before another one is sent. An attempt of an outgoing call of the own target has a key of its own, because no other node issues attempts of that call. Limits, queue, threshold, router, budget, ledger and directory are parts behind the interfaces of the root package.

--- /dev/null
+++ b/core/config.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// recordsRead puts a valid revision of the records in force.
+func (n *Node) recordsRead(event *gypsumrail.Event) {
+	if event.Records == nil || !n.adopt(event) {
+		return
+	}
+	n.records = event.Records
+	if target := n.records.Targets[n.self.Name]; target != nil {
+		n.parts.Limiter.SetCeiling(target.Slots)
+	}
+	n.generation = 0
+	n.setUpstreams()
+}
+
+// instancesRead merges the platform's list of instances.
+func (n *Node) instancesRead(event *gypsumrail.Event) {
+	if n.adopt(event) {
+		n.parts.Directory.MergeList(n.now, event.Instances)
+	}
+}
+
+// adopt puts a value in force if it is newer and tells some peers at once.
+func (n *Node) adopt(event *gypsumrail.Event) bool {
+	if !n.parts.Values.Adopt(n.now, event.Value, event.Peer.Name != "") {
+		n.notice(gypsumrail.NoticeRevisionIgnored, string(event.Value.Name), gypsumrail.ReasonNone)
+		return false
+	}
+	n.defaults = false
+	n.emit(gypsumrail.Effect{Kind: gypsumrail.Adopt, Value: event.Value})
+	n.notice(gypsumrail.NoticeRevisionAdopted, string(event.Value.Name), gypsumrail.ReasonNone)
+	var told [announceMax]string
+	for i := range announceMax {
+		peer, ok := n.parts.Directory.Partner(n.random.Uint64())
+		if !ok || slices.Contains(told[:i], peer.Name) || peer.Name == event.Peer.Name {
+			continue
+		}
+		told[i] = peer.Name
+		n.sendExchange(peer, 0, false, nil)
+	}
+	return true
+}
+
+// refreshUpstreams gives the router the directory's changes.
+func (n *Node) refreshUpstreams() {
+	if generation := n.parts.Directory.Generation(); generation != n.generation {
+		n.setUpstreams()
+	}
+}
+
+func (n *Node) setUpstreams() {
+	n.generation = n.parts.Directory.Generation()
+	n.self = n.parts.Directory.Self()
+	for _, name := range n.serviceNames() {
+		entries := n.parts.Directory.Upstreams(name)
+		upstreams := make([]gypsumrail.Upstream, 0, len(entries))
+		for _, entry := range entries {
+			upstreams = append(upstreams, n.upstream(entry))
+		}
+		n.parts.Router.SetUpstreams(n.now, name, upstreams)
+	}
+}
+
+// serviceNames returns the services of the records in order, or the own one
+// while there are no records.
+func (n *Node) serviceNames() []string {
+	if n.records == nil {
+		return []string{n.self.Service}
+	}
+	names := make([]string, 0, len(n.records.Services))
+	for name := range n.records.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (n *Node) upstream(entry gypsumrail.Instance) gypsumrail.Upstream {
+	upstream := gypsumrail.Upstream{Instance: entry}
+	if n.records == nil {
+		return upstream
+	}
+	if target := n.records.Targets[entry.Name]; target != nil {
+		upstream.Capabilities = target.Capabilities
+		upstream.Slots = target.Slots
+	}
+	return upstream
+}
--- /dev/null
+++ b/core/send.go
@@ -0,0 +1,320 @@
+package core
+
+import (
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// attemptsPerCaller separates the attempts of a caller from those of the sending
+// node in a HomeAttempt, so that a caller's next attempt is above all attempts
+// that any node made for the one before.
+const attemptsPerCaller = 256
+
+// callArrived takes a call into the sender role, or, from a peer, into the
+// receiver role.
+func (n *Node) callArrived(event *gypsumrail.Event) {
+	arrival := event.Arrival
+	if arrival == nil || event.Call == 0 || n.sends[event.Call] != nil || n.serves[event.Call] != nil {
+		n.counts.Dropped++
+		return
+	}
+	if arrival.Origin == gypsumrail.FromPeer {
+		n.peerCallArrived(event.Call, arrival)
+		return
+	}
+	n.counts.Arrived++
+	s := n.newSend(event.Call)
+	s.origin = arrival.Origin
+	s.request = arrival.Request
+	s.fingerprint = arrival.Fingerprint
+	s.service = arrival.Service
+	s.tenant = arrival.Tenant
+	s.attempt = max(1, arrival.Attempt)
+	if reason := n.describe(s, arrival); reason != gypsumrail.ReasonNone {
+		n.refuseNew(s, reason)
+		return
+	}
+	if n.join(s) {
+		return
+	}
+	if reason := n.admitSend(s, arrival); reason != gypsumrail.ReasonNone {
+		n.refuseNew(s, reason)
+		return
+	}
+	n.holdSend(s)
+	n.dispatch(s)
+}
+
+// describe fills in what the records or the parent call say of a call.
+func (n *Node) describe(s *send, arrival *gypsumrail.Arrival) gypsumrail.Reason {
+	parent := n.serves[arrival.Parent]
+	if arrival.Origin == gypsumrail.FromTarget && arrival.Parent != 0 && parent != nil {
+		n.inherit(s, parent, arrival)
+		return gypsumrail.ReasonNone
+	}
+	class, ok := n.class(arrival.Class)
+	if !ok || !n.knowsService(arrival.Service) {
+		return gypsumrail.ReasonUnknownName
+	}
+	s.class = class
+	s.importance = class.Importance
+	s.level = gypsumrail.LevelOf(class.Importance, s.request)
+	s.deadline = n.now + class.Deadline
+	if arrival.Remaining > 0 {
+		s.deadline = n.now + arrival.Remaining
+	}
+	// A resend carries no allowance: the first attempt has it, and the resend may
+	// have come to another node.
+	if s.origin == gypsumrail.FromCaller && s.attempt == 1 {
+		s.granted = class.Allowance
+	}
+	s.left = s.granted
+	return gypsumrail.ReasonNone
+}
+
+// inherit takes the user request of the call that the target is running.
+func (n *Node) inherit(s *send, parent *serve, arrival *gypsumrail.Arrival) {
+	s.parent = parent.call
+	s.request = parent.request
+	s.class = parent.class
+	s.tenant = parent.tenant
+	s.importance = parent.importance
+	s.level = parent.level
+	s.deadline = parent.deadline
+	if arrival.Remaining > 0 {
+		s.deadline = min(s.deadline, n.now+arrival.Remaining)
+	}
+	s.hop = parent.hop + 1
+	s.invested = parent.invested + n.now - parent.started
+	s.granted = (parent.left + 1) / 2
+	parent.left -= s.granted
+	s.left = s.granted
+}
+
+// join lets a resend take over the answer of the same request that is still
+// running here, so that a client's retry adds no work.
+func (n *Node) join(s *send) bool {
+	if s.origin != gypsumrail.FromCaller {
+		return false
+	}
+	running := n.sends[n.requests[s.request]]
+	if running == nil || running.fingerprint != s.fingerprint || running.service != s.service || running.tenant != s.tenant {
+		return false
+	}
+	if running.answering {
+		n.refuseNew(s, gypsumrail.ReasonKeyInUse)
+		return true
+	}
+	n.counts.Joined++
+	for alias, onto := range n.aliases {
+		if onto == running.call {
+			delete(n.aliases, alias)
+		}
+	}
+	n.aliases[s.call] = running.call
+	n.emit(gypsumrail.Effect{Kind: gypsumrail.Join, Call: s.call, Onto: running.call})
+	n.sendPool = append(n.sendPool, s)
+	return true
+}
+
+// admitSend decides whether a new call may be tried at all.
+func (n *Node) admitSend(s *send, arrival *gypsumrail.Arrival) gypsumrail.Reason {
+	switch {
+	case len(n.sends) >= callsMax:
+		return gypsumrail.ReasonOverload
+	case n.draining && s.origin == gypsumrail.FromCaller:
+		return gypsumrail.ReasonDraining
+	case s.hop >= n.settings.DepthMax:
+		return gypsumrail.ReasonTooDeep
+	case s.deadline <= n.now:
+		return gypsumrail.ReasonDeadline
+	}
+	if reason := n.takeKey(s, arrival); reason != gypsumrail.ReasonNone {
+		return reason
+	}
+	if s.origin == gypsumrail.FromCaller && !n.settings.NoEarlyShed {
+		if _, refused := n.parts.Shedder.Refuses(n.now, s.level, s.class.Uses); refused {
+			return gypsumrail.ReasonShed
+		}
+	}
+	return gypsumrail.ReasonNone
+}
+
+// refuseNew refuses a call that was never tried.
+func (n *Node) refuseNew(s *send, reason gypsumrail.Reason) {
+	n.emitRefusal(s, n.neverSent(s), reason)
+	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
+		parent.left += s.left
+	}
+	n.sendPool = append(n.sendPool, s)
+}
+
+// neverSent returns the outcome of a call that this node did not send. An
+// earlier attempt of a keyed call may have run elsewhere, and only its home can
+// tell.
+func (n *Node) neverSent(s *send) gypsumrail.Outcome {
+	if s.keyText != "" && !s.ownKey && s.attempt > 1 {
+		return gypsumrail.Unknown
+	}
+	return gypsumrail.NotRun
+}
+
+// dispatch sends a call to the best upstream, or refuses it.
+func (n *Node) dispatch(s *send) {
+	upstream, reason := n.choose(s)
+	if reason == gypsumrail.ReasonNoUpstream && s.ownKey && n.askEpoch(s) {
+		return
+	}
+	if reason != gypsumrail.ReasonNone {
+		n.finishRefused(s, reason)
+		return
+	}
+	service := n.service(s.service)
+	lent := portion(s.left, service != nil && len(service.Dependencies) > 0)
+	s.left -= lent
+	attempt := gypsumrail.HomeAttempt(s.attempt*attemptsPerCaller + len(s.tries) + 1)
+	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, lent: lent, open: true, attempt: attempt})
+	s.tried = append(s.tried, upstream.Name)
+	n.parts.Router.Sent(n.now, upstream.Name)
+	if upstream.Name == n.self.Name {
+		n.admitLocal(s, lent, attempt)
+		return
+	}
+	effect := gypsumrail.Effect{
+		Kind: gypsumrail.Forward, Call: s.call, Attempt: len(s.tries), To: upstream, Deadline: s.deadline,
+		Allowance: lent, Importance: s.importance, Invested: s.invested, Key: s.keyText,
+	}
+	if s.keyText != "" {
+		effect.HomeAttempt = attempt
+	}
+	n.emit(effect)
+}
+
+// portion returns the part of an allowance that goes down with a call: half of
+// what is left, rounded up, so that both this hop and those below can retry. A
+// callee without dependencies has nothing to retry.
+func portion(left int, dependencies bool) int {
+	if !dependencies {
+		return 0
+	}
+	return (left + 1) / 2
+}
+
+// choose returns the upstream for the next attempt. A keyed call of a caller
+// only goes to the home that its key names.
+func (n *Node) choose(s *send) (gypsumrail.Instance, gypsumrail.Reason) {
+	if s.keyText != "" && !s.ownKey {
+		return n.home(s.key)
+	}
+	choice := n.choice(s)
+	for {
+		upstream, reason := n.parts.Router.Choose(n.now, choice)
+		if reason != gypsumrail.ReasonNone {
+			return upstream, reason
+		}
+		if s.class.Repeatable || n.makeKey(s, upstream) {
+			return upstream, gypsumrail.ReasonNone
+		}
+		choice.Exclude = append(choice.Exclude, upstream.Name)
+	}
+}
+
+func (n *Node) choice(s *send) gypsumrail.Choice {
+	choice := gypsumrail.Choice{
+		Service: s.service, Level: s.level, Exclude: s.tried, Random: n.random.Uint64(), Importance: s.importance,
+	}
+	if s.class != nil {
+		choice.Capabilities = s.class.Capabilities[s.service]
+	}
+	return choice
+}
+
+// finishRefused ends a call in the sender role without an answer.
+func (n *Node) finishRefused(s *send, reason gypsumrail.Reason) {
+	outcome := n.neverSent(s)
+	if s.mayHaveRun {
+		outcome = gypsumrail.Unknown
+	} else if len(s.tries) > 0 {
+		outcome = gypsumrail.NotRun
+	}
+	n.finishWith(s, outcome, reason)
+}
+
+func (n *Node) finishWith(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	n.cancelTries(s)
+	n.emitRefusal(s, outcome, reason)
+	n.dropSend(s)
+}
+
+func (n *Node) emitRefusal(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	n.count(outcome, reason)
+	effect := gypsumrail.Effect{
+		Kind: gypsumrail.Refuse, Call: s.call, Outcome: outcome, Reason: reason,
+		RetryAfter: n.retryAfter(reason), Hints: n.allHints(),
+	}
+	if outcome == gypsumrail.Ran {
+		effect.Key = s.keyText
+	}
+	if reason == gypsumrail.ReasonKeyRequired || reason == gypsumrail.ReasonHomeGone && outcome == gypsumrail.NotRun {
+		effect.Keys = n.freshKeys(s.service, s.class, 1)
+	}
+	n.emit(effect)
+}
+
+// Callers that were refused for load come back after half a second to one and a
+// half, spread by the random value so that they do not return together.
+const (
+	retryAfterMin    = gypsumrail.Second / 2
+	retryAfterSpread = gypsumrail.Second
+)
+
+func (n *Node) retryAfter(reason gypsumrail.Reason) gypsumrail.Millis {
+	switch reason {
+	case gypsumrail.ReasonOverload, gypsumrail.ReasonShed, gypsumrail.ReasonNoUpstream,
+		gypsumrail.ReasonNoAllowance, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonDraining:
+		return retryAfterMin + gypsumrail.Millis(n.random.Uint64()%uint64(retryAfterSpread))
+	}
+	return 0
+}
+
+func (n *Node) count(outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	switch outcome {
+	case gypsumrail.NotRun:
+		n.counts.NotRun++
+	case gypsumrail.Unknown:
+		n.counts.Unknown++
+	}
+	switch reason {
+	case gypsumrail.ReasonShed, gypsumrail.ReasonOverload:
+		n.counts.Shed++
+	case gypsumrail.ReasonDeadline:
+		n.counts.Expired++
+	}
+}
+
+// callerGone cancels a call whose caller left and everything below it.
+func (n *Node) callerGone(call gypsumrail.CallID) {
+	if s := n.sends[call]; s != nil {
+		n.cancelTries(s)
+		n.dropSend(s)
+	} else if v := n.serves[call]; v != nil {
+		n.cancelServe(v, gypsumrail.ReasonCallerGone)
+	}
+	delete(n.tickets, call)
+}
+
+// cancelTries ends the open attempts. What they were lent counts as spent.
+func (n *Node) cancelTries(s *send) {
+	for i := range s.tries {
+		t := &s.tries[i]
+		if !t.open {
+			continue
+		}
+		t.open = false
+		n.parts.Router.Failed(n.now, t.upstream.Name, gypsumrail.ReasonCallerGone)
+		if t.upstream.Name != n.self.Name {
+			n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: s.call, Attempt: i + 1})
+		} else if v := n.serves[s.call]; v != nil {
+			n.cancelServe(v, gypsumrail.ReasonCallerGone)
+		}
+	}
+}
--- /dev/null
+++ b/core/serve.go
@@ -0,0 +1,285 @@
+package core
+
+import (
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// peerCallArrived takes a forwarded call into the receiver role.
+func (n *Node) peerCallArrived(call gypsumrail.CallID, arrival *gypsumrail.Arrival) {
+	n.noteCaller(arrival.From)
+	v := n.newServe(call)
+	v.service = arrival.Service
+	v.request = arrival.Request
+	v.tenant = arrival.Tenant
+	v.hop = arrival.Hop
+	v.invested = arrival.Invested
+	v.granted = max(0, arrival.Allowance)
+	v.left = v.granted
+	v.class, _ = n.class(arrival.Class)
+	if v.class == nil {
+		// The sender may run newer records. What matters for the call is in its headers.
+		v.class = defaultClass
+	}
+	v.importance = min(max(arrival.Importance, gypsumrail.ImportanceMin), gypsumrail.ImportanceMax)
+	v.level = gypsumrail.LevelOf(v.importance, v.request)
+	v.deadline = n.now + v.class.Deadline
+	if arrival.Remaining > 0 {
+		v.deadline = n.now + arrival.Remaining
+	}
+	v.keyText = arrival.Key
+	v.homeAttempt = arrival.HomeAttempt
+	n.admit(v)
+}
+
+// admitLocal takes a call that this node's sender role routed to its own target.
+func (n *Node) admitLocal(s *send, lent int, attempt gypsumrail.HomeAttempt) {
+	v := n.newServe(s.call)
+	v.local = true
+	v.service = s.service
+	v.class = s.class
+	v.request = s.request
+	v.tenant = s.tenant
+	v.level = s.level
+	v.importance = s.importance
+	v.deadline = s.deadline
+	v.invested = s.invested
+	v.hop = s.hop
+	v.granted = lent
+	v.left = lent
+	v.keyText = s.keyText
+	v.homeAttempt = attempt
+	n.admit(v)
+}
+
+// admit starts a call, queues it or refuses it.
+func (n *Node) admit(v *serve) {
+	n.reserve.arrived(n.now, v.importance)
+	if outcome, reason := n.checkKey(v); reason != gypsumrail.ReasonNone {
+		n.refuseServe(v, outcome, reason)
+		return
+	}
+	if reason := n.checkAdmission(v); reason != gypsumrail.ReasonNone {
+		n.parts.Shedder.Offered(n.now, v.level, false)
+		n.refuseServe(v, gypsumrail.NotRun, reason)
+		return
+	}
+	n.parts.Shedder.Offered(n.now, v.level, true)
+	n.serves[v.call] = v
+	if !v.local {
+		n.due.ReplaceOrInsert(due{v.deadline, v.call})
+	}
+	if n.running < n.limitFor(v.importance) && n.parts.Queue.Ahead(v.level) == 0 {
+		n.start(v)
+		return
+	}
+	n.enqueue(v)
+}
+
+// checkAdmission returns the reason to refuse a call before it waits.
+func (n *Node) checkAdmission(v *serve) gypsumrail.Reason {
+	switch {
+	case n.draining && !v.local:
+		return gypsumrail.ReasonDraining
+	case len(n.serves) >= callsMax:
+		return gypsumrail.ReasonOverload
+	case v.hop >= n.settings.DepthMax:
+		return gypsumrail.ReasonTooDeep
+	case v.deadline <= n.now:
+		return gypsumrail.ReasonDeadline
+	case v.level < n.parts.Shedder.Threshold():
+		return gypsumrail.ReasonShed
+	}
+	if n.settings.NoDeadlines {
+		return gypsumrail.ReasonNone
+	}
+	if n.now+n.expectedWait(v)+n.need(v.class.Name) > v.deadline {
+		return gypsumrail.ReasonDeadline
+	}
+	return gypsumrail.ReasonNone
+}
+
+// expectedWait estimates how long a call waits for a slot: the calls ahead of
+// it, served by all slots in parallel.
+func (n *Node) expectedWait(v *serve) gypsumrail.Millis {
+	limit := n.limitFor(v.importance)
+	ahead := n.parts.Queue.Ahead(v.level)
+	if ahead == 0 && n.running < limit {
+		return 0
+	}
+	return gypsumrail.Millis(float64(ahead+1) * n.meanTime(v.class.Name) / float64(max(limit, 1)))
+}
+
+// enqueue lets a call wait, and refuses the one that loses its place to it.
+func (n *Node) enqueue(v *serve) {
+	evicted, full := n.parts.Queue.Push(n.now, gypsumrail.Waiting{
+		Call: v.call, Level: v.level, Invested: v.invested, Deadline: v.deadline, Arrived: n.now, Tenant: v.tenant,
+	})
+	if !full {
+		return
+	}
+	n.counts.Evicted++
+	if loser := n.serves[evicted.Call]; loser != nil {
+		n.refuseServe(loser, gypsumrail.NotRun, gypsumrail.ReasonOverload)
+	}
+}
+
+// limitFor returns the slots that a call of this importance may use.
+func (n *Node) limitFor(importance gypsumrail.Importance) int {
+	limit := n.parts.Limiter.Limit()
+	if importance >= gypsumrail.ImportanceReserved {
+		return limit
+	}
+	return max(1, limit-n.reserve.slots(n.now, limit, n.settings.ReserveShare))
+}
+
+// start runs a call on the target. The key is checked again, because the call
+// may have waited while its attempt was refused from elsewhere.
+func (n *Node) start(v *serve) {
+	if v.keyed {
+		if outcome, reason := n.startKey(v); reason != gypsumrail.ReasonNone {
+			n.refuseServe(v, outcome, reason)
+			return
+		}
+	}
+	n.running++
+	if v.importance >= gypsumrail.ImportanceReserved {
+		n.reserve.running++
+	}
+	n.counts.Served++
+	v.running = true
+	v.started = n.now
+	v.inFlight = n.running
+	n.emit(gypsumrail.Effect{
+		Kind: gypsumrail.RunTarget, Call: v.call, Deadline: v.deadline, Key: v.keyText, Importance: v.importance,
+	})
+}
+
+// pump starts queued calls while there are slots. Calls that can no longer
+// finish are refused first, so that no slot goes to work that nobody waits for.
+func (n *Node) pump() {
+	n.expireQueue()
+	for {
+		atLeast := gypsumrail.Level(0)
+		if n.running >= n.limitFor(gypsumrail.ImportanceMin) {
+			atLeast = gypsumrail.Level(gypsumrail.ImportanceReserved) * gypsumrail.LevelsPerImportance
+		}
+		if n.running >= n.parts.Limiter.Limit() {
+			return
+		}
+		waiting, ok := n.parts.Queue.Pop(n.now, atLeast)
+		if !ok {
+			return
+		}
+		if v := n.serves[waiting.Call]; v != nil && !v.running {
+			n.start(v)
+		}
+	}
+}
+
+// expireQueue refuses the queued calls that have too little time left.
+func (n *Node) expireQueue() {
+	need := gypsumrail.Millis(1)
+	if !n.settings.NoDeadlines {
+		need = max(need, n.leastNeed())
+	}
+	n.expired = n.parts.Queue.Expire(n.now, need, n.expired[:0])
+	for _, waiting := range n.expired {
+		if v := n.serves[waiting.Call]; v != nil {
+			n.refuseServe(v, gypsumrail.NotRun, gypsumrail.ReasonDeadline)
+		}
+	}
+}
+
+// refuseServe ends a call that did not start. A refusal of a keyed call leaves a
+// tombstone, so that a copy of the same attempt that arrives later does not run.
+func (n *Node) refuseServe(v *serve, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	if v.keyed && outcome == gypsumrail.NotRun {
+		if verdict := n.parts.Ledger.Refuse(n.now, v.key, v.homeAttempt); verdict != gypsumrail.VerdictRefused && verdict != gypsumrail.VerdictFull {
+			outcome, reason = verdictOutcome(verdict)
+		}
+	}
+	n.replyServe(v, outcome, reason)
+}
+
+// replyServe tells the sender that a call has no answer and forgets the call.
+func (n *Node) replyServe(v *serve, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	if v.local {
+		s := n.sends[v.call]
+		left := v.left
+		n.dropServe(v)
+		if s != nil && len(s.tries) > 0 {
+			n.localEnded(s, left, outcome, reason)
+		}
+		return
+	}
+	n.count(outcome, reason)
+	effect := gypsumrail.Effect{
+		Kind: gypsumrail.Refuse, Call: v.call, Outcome: outcome, Reason: reason, RetryAfter: n.retryAfter(reason),
+		Allowance: v.left, Report: n.ownReport(), Hints: n.allHints(),
+	}
+	if outcome == gypsumrail.Ran {
+		effect.Key = v.keyText
+	}
+	n.emit(effect)
+	n.dropServe(v)
+}
+
+// localEnded ends the attempt of a call that was routed to the own target.
+func (n *Node) localEnded(s *send, left int, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
+	attempt := len(s.tries)
+	t := &s.tries[attempt-1]
+	if !t.open {
+		return
+	}
+	t.open = false
+	s.left += min(left, t.lent)
+	t.lent = 0
+	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect {
+		n.parts.Router.Answered(n.now, n.self.Name, n.now-t.sent, n.ownReport())
+	} else {
+		n.parts.Router.Failed(n.now, n.self.Name, reason)
+	}
+	n.ended(s, attempt, outcome, reason)
+}
+
+// cancelServe withdraws a call whose caller no longer waits. A keyed call that
+// already started goes on, so that a resend finds its answer.
+func (n *Node) cancelServe(v *serve, reason gypsumrail.Reason) {
+	if !v.running {
+		n.parts.Queue.Remove(v.call)
+		if v.keyed {
+			n.parts.Ledger.Refuse(n.now, v.key, v.homeAttempt)
+		}
+		n.dropServe(v)
+		return
+	}
+	if v.keyed || v.canceled {
+		return
+	}
+	v.canceled = true
+	n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelTarget, Call: v.call, Reason: reason})
+	n.cancelChildren(v)
+}
+
+// cancelChildren ends the outgoing calls of a call on the target.
+func (n *Node) cancelChildren(v *serve) {
+	for len(v.children) > 0 {
+		child := v.children[len(v.children)-1]
+		s := n.sends[child]
+		if s == nil {
+			v.dropChild(child)
+			continue
+		}
+		outcome := gypsumrail.NotRun
+		if s.mayHaveRun || len(s.tries) > 0 {
+			outcome = gypsumrail.Unknown
+		}
+		if s.answering {
+			// The caller is the own target, which is being canceled.
+			n.cancelTries(s)
+			n.dropSend(s)
+			continue
+		}
+		n.finishWith(s, outcome, gypsumrail.ReasonCallerGone)
+	}
+}
--- /dev/null
+++ b/core/status.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Status is what a node holds in force and why, for operators.
+type Status struct {
+	Self       gypsumrail.Instance
+	Values     []gypsumrail.ValueVersion
+	Defaults   bool // no records were found in time; built-in defaults are used
+	Reader     bool // the node watches the platform for its zone
+	Draining   bool
+	Report     gypsumrail.Report
+	Sends      int // calls in the sender role
+	Serves     int // calls in the receiver role, queued ones included
+	Reserved   int // free slots that only important calls may use
+	LedgerSize int
+	Instances  int
+	Services   []ServiceStatus
+	Counts     Counts
+}
+
+// ServiceStatus is a node's view of one service.
+type ServiceStatus struct {
+	Name      string
+	Budget    float64 // retries left
+	Upstreams []gypsumrail.Explained
+}
+
+// Status returns the state of the node at the time of the last step.
+func (n *Node) Status() Status {
+	status := Status{
+		Self:       n.self,
+		Values:     n.parts.Values.Versions(),
+		Defaults:   n.defaults,
+		Reader:     n.reader,
+		Draining:   n.draining,
+		Report:     n.currentReport(),
+		Sends:      len(n.sends),
+		Serves:     len(n.serves),
+		Reserved:   n.reserve.slots(n.now, n.parts.Limiter.Limit(), n.settings.ReserveShare),
+		LedgerSize: n.parts.Ledger.Len(),
+		Instances:  n.parts.Directory.Len(),
+		Counts:     n.counts,
+	}
+	for _, name := range n.serviceNames() {
+		status.Services = append(status.Services, ServiceStatus{
+			Name:   name,
+			Budget: n.parts.Budget.Left(name),
+			Upstreams: n.parts.Router.Explain(n.now, gypsumrail.Choice{
+				Service: name, Level: gypsumrail.LevelMax - 1, Importance: gypsumrail.ImportanceMax,
+			}),
+		})
+	}
+	return status
+}
+
+// ClassNames returns the names of the classes in force, in order.
+func (n *Node) ClassNames() []string {
+	if n.records == nil {
+		return []string{defaultClass.Name}
+	}
+	return slices.Sorted(maps.Keys(n.records.Classes))
+}
--- /dev/null
+++ b/core/ticks.go
@@ -0,0 +1,141 @@
+package core
+
+import "github.com/gypsumrail/gypsumrail"
+
+// clocks holds the times of what the tick drives.
+type clocks struct {
+	tick    gypsumrail.Millis
+	observe gypsumrail.Millis
+	gossip  gypsumrail.Millis
+	expire  gypsumrail.Millis
+}
+
+const (
+	noTick = gypsumrail.Millis(-1)
+	// observeEvery is how often the threshold moves.
+	observeEvery = 100 * gypsumrail.Millis(1)
+	// expireEvery is how often slow state is cleaned.
+	expireEvery = gypsumrail.Second
+	// pauseGap is the gap between two ticks from which the process counts as paused. Ticks come
+	// every 10 ms; a busy scheduler delays them by tens of milliseconds, not hundreds.
+	pauseGap = gypsumrail.Second / 2
+)
+
+// tick drives everything that depends on time alone.
+func (n *Node) tick() {
+	if n.clocks.tick != noTick && n.now-n.clocks.tick > pauseGap {
+		n.counts.Pauses++
+		n.notice(gypsumrail.NoticePaused, n.self.Name, gypsumrail.ReasonNone)
+	}
+	n.clocks.tick = n.now
+	n.expireCalls()
+	n.pump()
+	if n.now-n.clocks.observe >= observeEvery {
+		n.clocks.observe = n.now
+		n.observe()
+	}
+	if n.settings.GossipEvery > 0 && n.now-n.clocks.gossip >= n.settings.GossipEvery {
+		n.clocks.gossip = n.now
+		n.gossip()
+	}
+	if n.now-n.clocks.expire >= expireEvery {
+		n.clocks.expire = n.now
+		n.expireState()
+	}
+	n.finishDrain()
+}
+
+// expireCalls ends the calls whose deadline has passed.
+func (n *Node) expireCalls() {
+	for {
+		first, ok := n.due.Min()
+		if !ok || first.at > n.now {
+			return
+		}
+		n.due.DeleteMin()
+		if s := n.sends[first.call]; s != nil {
+			n.expireSend(s)
+		} else if v := n.serves[first.call]; v != nil {
+			n.expireServe(v)
+		}
+	}
+}
+
+// expireSend tells the caller that the time is over. What was sent and not
+// answered may have run.
+func (n *Node) expireSend(s *send) {
+	for i := range s.tries {
+		t := &s.tries[i]
+		if !t.open {
+			continue
+		}
+		if v := n.serves[s.call]; t.upstream.Name == n.self.Name && v != nil && !v.running {
+			continue // still queued here, so it did not run
+		}
+		s.mayHaveRun = true
+	}
+	if s.resolving && len(s.tries) > 0 {
+		s.mayHaveRun = true
+	}
+	n.finishRefused(s, gypsumrail.ReasonDeadline)
+}
+
+// expireServe ends a call whose sender has stopped waiting.
+func (n *Node) expireServe(v *serve) {
+	if !v.running {
+		n.parts.Queue.Remove(v.call)
+		n.refuseServe(v, gypsumrail.NotRun, gypsumrail.ReasonDeadline)
+		return
+	}
+	n.cancelServe(v, gypsumrail.ReasonDeadline)
+}
+
+// observe moves the threshold of the receiver role.
+func (n *Node) observe() {
+	before := n.parts.Shedder.Threshold()
+	n.parts.Shedder.Observe(n.now, gypsumrail.Load{
+		Limit:    n.parts.Limiter.Limit(),
+		InFlight: n.running,
+		Queued:   n.parts.Queue.Len(),
+		MinDelay: n.parts.Queue.MinDelay(n.now),
+	})
+	switch after := n.parts.Shedder.Threshold(); {
+	case before == 0 && after > 0:
+		n.notice(gypsumrail.NoticeThresholdRaised, n.self.Name, gypsumrail.ReasonShed)
+	case before > 0 && after == 0:
+		n.notice(gypsumrail.NoticeThresholdZero, n.self.Name, gypsumrail.ReasonNone)
+	}
+}
+
+// expireState cleans the state that changes slowly.
+func (n *Node) expireState() {
+	n.parts.Ledger.Expire(n.now)
+	for name, seen := range n.callers {
+		if n.now-seen > callerLife {
+			delete(n.callers, name)
+		}
+	}
+	n.expireTickets()
+	if !n.defaults && n.records == nil && n.parts.Values.Missing(n.now) {
+		n.defaults = true
+		n.notice(gypsumrail.NoticeDefaultsInUse, n.self.Name, gypsumrail.ReasonNone)
+	}
+	if reader := n.parts.Directory.IsReader(); reader != n.reader {
+		n.reader = reader
+		n.emit(gypsumrail.Effect{Kind: gypsumrail.Watch, On: reader})
+		notice := gypsumrail.NoticeReaderStopped
+		if reader {
+			notice = gypsumrail.NoticeReaderStarted
+		}
+		n.notice(notice, n.self.Name, gypsumrail.ReasonNone)
+	}
+}
+
+func (n *Node) expireTickets() {
+	for _, call := range sortedCalls(n.tickets) {
+		if n.tickets[call].due <= n.now {
+			delete(n.tickets, call)
+			n.emit(gypsumrail.Effect{Kind: gypsumrail.Tickets, Call: call, Reason: gypsumrail.ReasonNoUpstream})
+		}
+	}
+}
--- a/effect.go
+++ b/effect.go
@@ -4,6 +4,11 @@
 type EffectKind string
 
 // Kinds of effects. The comment names the fields that each kind uses besides Kind.
+//
+// An Answer whose caller has left is read to its end and dropped, or kept if the
+// call is keyed: TargetDone must follow so that the slot is freed. A Refuse with
+// the outcome Ran and a Key is replaced by the kept answer of that key if there is
+// one.
 const (
 	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt
 	RunTarget     EffectKind = "RunTarget"     // Call, Deadline
@@ -11,11 +16,11 @@
 	Refuse        EffectKind = "Refuse"        // Call, Outcome, Reason, RetryAfter, Allowance, Report, Hints, Keys
 	Join          EffectKind = "Join"          // Call, Onto: the answer of call Onto goes to the caller of Call
 	CancelAttempt EffectKind = "CancelAttempt" // Call, Attempt
-	CancelTarget  EffectKind = "CancelTarget"  // Call
-	AskResolve    EffectKind = "AskResolve"    // Call, Attempt, To, Key, HomeAttempt
-	ResolveReply  EffectKind = "ResolveReply"  // Call, Outcome, Reason
+	CancelTarget  EffectKind = "CancelTarget"  // Call; TargetDone or TargetFailed follows as always
+	AskResolve    EffectKind = "AskResolve"    // Call, Attempt, To, Key, HomeAttempt; without Key only the report is asked for
+	ResolveReply  EffectKind = "ResolveReply"  // Call, Outcome, Reason, Report
 	Tickets       EffectKind = "Tickets"       // Call, Keys, or Reason if there are none
-	SendExchange  EffectKind = "SendExchange"  // To, Exchange; for an answer To is the asking peer
+	SendExchange  EffectKind = "SendExchange"  // To, Exchange; Call is set in the answer to an Exchanged event with that Call
 	Pull          EffectKind = "Pull"          // To, Value: fetch the content of a value from a peer
 	Adopt         EffectKind = "Adopt"         // Value: the content read with this version is in force; serve it to peers
 	Watch         EffectKind = "Watch"         // On: start or stop watching the platform
--- a/event.go
+++ b/event.go
@@ -10,7 +10,7 @@
 	CallerGone      EventKind = "CallerGone"      // Call: the caller left before its answer was whole
 	AttemptAnswered EventKind = "AttemptAnswered" // Call, Attempt, Result: the head of an answer arrived
 	AttemptFailed   EventKind = "AttemptFailed"   // Call, Attempt, Result: no answer will arrive
-	AnswerDone      EventKind = "AnswerDone"      // Call, Result: the body was passed on whole, or broke
+	AnswerDone      EventKind = "AnswerDone"      // Call, Result: the sender passed the body on whole, or it broke
 	TargetAnswered  EventKind = "TargetAnswered"  // Call, Result: the head of the own target's answer arrived
 	TargetFailed    EventKind = "TargetFailed"    // Call, Result: the own target will not answer
 	TargetDone      EventKind = "TargetDone"      // Call, Result: the target's answer ended, or broke
@@ -18,7 +18,7 @@
 	Tick            EventKind = "Tick"            // nothing: time passed
 	RecordsRead     EventKind = "RecordsRead"     // Value, Records: a valid revision was read
 	InstancesRead   EventKind = "InstancesRead"   // Value, Instances: the platform's list was read
-	Exchanged       EventKind = "Exchanged"       // Peer, Exchange: a peer's message arrived
+	Exchanged       EventKind = "Exchanged"       // Call (to answer), Peer, Exchange: a peer's message arrived
 	PeerFailed      EventKind = "PeerFailed"      // Peer: a control message got no answer
 	PeerCalled      EventKind = "PeerCalled"      // Peer: an instance told its state directly
 	ResolveAsked    EventKind = "ResolveAsked"    // Call (to answer), Key, HomeAttempt
