Use the allowance of package retry in the reducer

The reducer held its own arithmetic for grants and returns. The package's Allowance and Portion make it impossible to return more than was granted or to return it twice.

--- a/core/calls.go
+++ b/core/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/retry"
 )
 
 // callsMax bounds the calls that one node holds in each role. A small instance
@@ -24,9 +25,8 @@
 	invested    gypsumrail.Millis
 	hop         int
 	attempt     int // the caller's
-	granted     int // retries taken from the class or from the parent
-	left        int // of granted: neither spent nor lent
-	spent       int
+	allowance   retry.Allowance
+	fromParent  retry.Portion // what the allowance took from that of the parent
 	tries       []try
 	tried       []string
 	mayHaveRun  bool // an attempt ended without a certain outcome
@@ -42,7 +42,7 @@
 type try struct {
 	upstream gypsumrail.Instance
 	sent     gypsumrail.Millis
-	lent     int
+	portion  retry.Portion
 	open     bool
 	attempt  gypsumrail.HomeAttempt
 }
@@ -60,8 +60,7 @@
 	deadline    gypsumrail.Millis
 	invested    gypsumrail.Millis
 	hop         int
-	granted     int
-	left        int // retries that the call's own outgoing calls may still take
+	allowance   retry.Allowance // for the call's own outgoing calls
 	started     gypsumrail.Millis
 	inFlight    int // when it started
 	running     bool
@@ -151,7 +150,7 @@
 		}
 	}
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
-		parent.left += s.left
+		parent.allowance.Return(&s.fromParent, s.allowance.Left())
 		parent.dropChild(s.call)
 		if len(parent.children) == 0 {
 			parent.childWait += n.now - parent.childSince
--- a/core/send.go
+++ b/core/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/retry"
 )
 
 // attemptsPerCaller separates the attempts of a caller from those of the sending
@@ -62,12 +63,9 @@
 	if arrival.Remaining > 0 {
 		s.deadline = n.now + arrival.Remaining
 	}
-	// A resend carries no allowance: the first attempt has it, and the resend may
-	// have come to another node.
-	if s.origin == gypsumrail.FromCaller && s.attempt == 1 {
-		s.granted = class.Allowance
+	if s.origin == gypsumrail.FromCaller {
+		s.allowance = retry.AtEntry(class.Allowance, s.attempt)
 	}
-	s.left = s.granted
 	return gypsumrail.ReasonNone
 }
 
@@ -85,9 +83,8 @@
 	}
 	s.hop = parent.hop + 1
 	s.invested = parent.invested + n.now - parent.started
-	s.granted = (parent.left + 1) / 2
-	parent.left -= s.granted
-	s.left = s.granted
+	s.fromParent = parent.allowance.Grant(true)
+	s.allowance = retry.NewAllowance(s.fromParent.Size())
 }
 
 // join lets a resend take over the answer of the same request that is still
@@ -143,7 +140,7 @@
 func (n *Node) refuseNew(s *send, reason gypsumrail.Reason) {
 	n.emitRefusal(s, n.neverSent(s), reason)
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
-		parent.left += s.left
+		parent.allowance.Return(&s.fromParent, s.allowance.Left())
 	}
 	n.sendPool = append(n.sendPool, s)
 }
@@ -169,19 +166,18 @@
 		return
 	}
 	service := n.service(s.service)
-	lent := portion(s.left, service != nil && len(service.Dependencies) > 0)
-	s.left -= lent
+	portion := s.allowance.Grant(service != nil && len(service.Dependencies) > 0)
 	attempt := gypsumrail.HomeAttempt(s.attempt*attemptsPerCaller + len(s.tries) + 1)
-	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, lent: lent, open: true, attempt: attempt})
+	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, portion: portion, open: true, attempt: attempt})
 	s.tried = append(s.tried, upstream.Name)
 	n.parts.Router.Sent(n.now, upstream.Name)
 	if upstream.Name == n.self.Name {
-		n.admitLocal(s, lent, attempt)
+		n.admitLocal(s, portion.Size(), attempt)
 		return
 	}
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Forward, Call: s.call, Attempt: len(s.tries), To: upstream, Deadline: s.deadline,
-		Allowance: lent, Importance: s.importance, Invested: s.invested, Key: s.keyText,
+		Allowance: portion.Size(), Importance: s.importance, Invested: s.invested, Key: s.keyText,
 	}
 	if s.keyText != "" {
 		effect.HomeAttempt = attempt
@@ -189,16 +185,6 @@
 	n.emit(effect)
 }
 
-// portion returns the part of an allowance that goes down with a call: half of
-// what is left, rounded up, so that both this hop and those below can retry. A
-// callee without dependencies has nothing to retry.
-func portion(left int, dependencies bool) int {
-	if !dependencies {
-		return 0
-	}
-	return (left + 1) / 2
-}
-
 // choose returns the upstream for the next attempt. A keyed call of a caller
 // only goes to the home that its key names.
 func (n *Node) choose(s *send) (gypsumrail.Instance, gypsumrail.Reason) {
--- a/core/serve.go
+++ b/core/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/retry"
 )
 
 // peerCallArrived takes a forwarded call into the receiver role.
@@ -13,8 +14,7 @@
 	v.tenant = arrival.Tenant
 	v.hop = arrival.Hop
 	v.invested = arrival.Invested
-	v.granted = max(0, arrival.Allowance)
-	v.left = v.granted
+	v.allowance = retry.NewAllowance(arrival.Allowance)
 	v.class, _ = n.class(arrival.Class)
 	if v.class == nil {
 		// The sender may run newer records. What matters for the call is in its headers.
@@ -32,7 +32,7 @@
 }
 
 // admitLocal takes a call that this node's sender role routed to its own target.
-func (n *Node) admitLocal(s *send, lent int, attempt gypsumrail.HomeAttempt) {
+func (n *Node) admitLocal(s *send, retries int, attempt gypsumrail.HomeAttempt) {
 	v := n.newServe(s.call)
 	v.local = true
 	v.service = s.service
@@ -44,8 +44,7 @@
 	v.deadline = s.deadline
 	v.invested = s.invested
 	v.hop = s.hop
-	v.granted = lent
-	v.left = lent
+	v.allowance = retry.NewAllowance(retries)
 	v.keyText = s.keyText
 	v.homeAttempt = attempt
 	n.admit(v)
@@ -205,7 +204,7 @@
 func (n *Node) replyServe(v *serve, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	if v.local {
 		s := n.sends[v.call]
-		left := v.left
+		left := v.allowance.Left()
 		n.dropServe(v)
 		if s != nil && len(s.tries) > 0 {
 			n.localEnded(s, left, outcome, reason)
@@ -215,7 +214,7 @@
 	n.count(outcome, reason)
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Refuse, Call: v.call, Outcome: outcome, Reason: reason, RetryAfter: n.retryAfter(reason),
-		Allowance: v.left, Report: n.ownReport(), Hints: n.allHints(),
+		Allowance: v.allowance.Left(), Report: n.ownReport(), Hints: n.allHints(),
 	}
 	if outcome == gypsumrail.Ran {
 		effect.Key = v.keyText
@@ -232,8 +231,7 @@
 		return
 	}
 	t.open = false
-	s.left += min(left, t.lent)
-	t.lent = 0
+	s.allowance.Return(&t.portion, left)
 	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect {
 		n.parts.Router.Answered(n.now, n.self.Name, n.now-t.sent, n.ownReport())
 	} else {
--- a/core/target.go
+++ b/core/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/retry"
 )
 
 // targetAnswered takes the head of the own target's answer.
@@ -16,8 +17,8 @@
 	}
 	v.answered = true
 	v.refused = isOverloadStatus(event.Result.Status)
-	left := v.left
-	v.left = 0 // returned with the answer
+	left := v.allowance.Left()
+	v.allowance = retry.Allowance{} // returned with the answer
 	s := n.sends[v.call]
 	if !v.local || s == nil || len(s.tries) == 0 {
 		// A keyed call goes on without its caller, so that a resend finds the answer.
@@ -30,8 +31,7 @@
 		return
 	}
 	t := &s.tries[len(s.tries)-1]
-	s.left += min(left, t.lent)
-	t.lent = 0
+	s.allowance.Return(&t.portion, left)
 	n.parts.Router.Answered(n.now, n.self.Name, n.now-t.sent, n.ownReport())
 	if event.Result.Status < 500 {
 		n.parts.Budget.Succeeded(n.now, s.service)
--- a/core/tries.go
+++ b/core/tries.go
@@ -19,8 +19,7 @@
 	// An answer of the target has no reason; a refusal by its node has one.
 	passes := result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone
 	t.open = passes
-	s.left += min(max(result.AllowanceLeft, 0), t.lent)
-	t.lent = 0
+	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.learn(t.upstream, s.service, result)
 	n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
 	if passes {
@@ -139,7 +138,7 @@
 	case RetryPerHop:
 		return len(s.tries) <= n.settings.RetriesPerHop
 	}
-	if s.left < 1 {
+	if s.allowance.Left() < 1 {
 		return false
 	}
 	if isLoad(reason) && !n.parts.Router.HasRoom(n.now, n.choice(s)) {
@@ -168,9 +167,8 @@
 // retry spends one retry and sends the call again.
 func (n *Node) retry(s *send) {
 	if n.settings.Retry == RetryChain {
-		s.left--
+		s.allowance.Spend()
 	}
-	s.spent++
 	n.counts.Retries++
 	n.dispatch(s)
 }
