Add the verbs check and explain

go-arg stops at the first wrong setting, so required values and ranges are checked after it and all errors are reported at once with flag and variable. Tests are files with a command line, exit code and outputs, run by one driver; 'go test ./verbs -update' rewrites them.

--- /dev/null
+++ b/verbs/explain.go
@@ -0,0 +1,225 @@
+package verbs
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/record"
+)
+
+// explainArgs are the arguments of explain.
+type explainArgs struct {
+	Records string `arg:"--records,env:GYPSUMRAIL_RECORDS" placeholder:"FILE" help:"record set (required)"`
+	Service string `arg:"--service,env:GYPSUMRAIL_SERVICE" help:"service that the request calls (required)"`
+	Class   string `arg:"--class,env:GYPSUMRAIL_CLASS" help:"class of the request (required)"`
+	Tenant  string `arg:"--tenant,env:GYPSUMRAIL_TENANT" help:"tenant of the caller (required)"`
+	Zone    string `arg:"--zone,env:GYPSUMRAIL_ZONE" help:"availability zone of the sending node"`
+	JSON    bool   `arg:"--json,env:GYPSUMRAIL_JSON" help:"print JSON"`
+}
+
+// Description returns the first line of the help text.
+func (explainArgs) Description() string {
+	return "Tells which upstreams can serve a request according to the records, which are left out, and why."
+}
+
+// explainPlan is a request whose names are all in the records, except perhaps the tenant.
+type explainPlan struct {
+	records *gypsumrail.Records
+	service *gypsumrail.Service
+	class   *gypsumrail.Class
+	tenant  string
+	zone    string
+	json    bool
+}
+
+// explanation is the JSON output.
+type explanation struct {
+	Revision        gypsumrail.Revision
+	Class           string
+	Importance      gypsumrail.Importance
+	DeadlineMillis  int64
+	Allowance       int
+	Repeatable      bool
+	LateIsWorthless bool
+	Service         string
+	Needs           []string
+	Tenant          string
+	TenantKnown     bool
+	TenantShare     float64 // 0 means no limit
+	Zone            string
+	Usable          []explainedTarget
+	LeftOut         []explainedTarget
+}
+
+// explainedTarget is one upstream and the reason for which it can or cannot serve.
+type explainedTarget struct {
+	Name  string
+	Zone  string
+	Slots int
+	Conns int
+	Why   string
+}
+
+func runExplain(args []string, out, errOut io.Writer) int {
+	var settings explainArgs
+	if code, ok := parseArgs("explain", &settings, args, out, errOut); !ok {
+		return code
+	}
+	plan, wrong := buildExplain(settings)
+	if len(wrong) > 0 {
+		return wrong.write("explain", errOut)
+	}
+	if err := plan.run(out); err != nil {
+		fmt.Fprintf(errOut, "gypsumrail explain: %v\n", err)
+		return ExitNotMet
+	}
+	return ExitOK
+}
+
+func buildExplain(settings explainArgs) (explainPlan, problems) {
+	var wrong problems
+	plan := explainPlan{tenant: settings.Tenant, zone: settings.Zone, json: settings.JSON}
+	if settings.Tenant == "" {
+		wrong.add("--tenant", "the name of a tenant is required")
+	}
+	if settings.Records == "" {
+		wrong.add("--records", "a file with a record set is required")
+	} else {
+		records, err := readRecords(settings.Records, record.Options{})
+		if err != nil {
+			wrong = append(wrong, strings.Split(err.Error(), "\n")...)
+		}
+		plan.records = records
+	}
+	if plan.records == nil {
+		// The names cannot be looked up, but those that are missing can be told.
+		if settings.Service == "" {
+			wrong.add("--service", "the name of a service is required")
+		}
+		if settings.Class == "" {
+			wrong.add("--class", "the name of a class is required")
+		}
+		return plan, wrong
+	}
+	plan.service = plan.records.Services[settings.Service]
+	if plan.service == nil {
+		wrong.add("--service", fmt.Sprintf("%q is not one of %s", settings.Service, listNames(plan.records.Services)))
+	}
+	plan.class = plan.records.Classes[settings.Class]
+	if plan.class == nil {
+		wrong.add("--class", fmt.Sprintf("%q is not one of %s", settings.Class, listNames(plan.records.Classes)))
+	}
+	if plan.service != nil && plan.class != nil && !slices.Contains(plan.class.Uses, plan.service.Name) {
+		wrong.add("--service", fmt.Sprintf("class %q does not use %q, only %s",
+			plan.class.Name, plan.service.Name, strings.Join(plan.class.Uses, ", ")))
+	}
+	zones := map[string]bool{}
+	for _, target := range plan.records.Targets {
+		zones[target.Zone] = true
+	}
+	if settings.Zone != "" && !zones[settings.Zone] {
+		wrong.add("--zone", fmt.Sprintf("%q is not one of %s", settings.Zone, listNames(zones)))
+	}
+	return plan, wrong
+}
+
+// listNames returns the keys of a map in order.
+func listNames[T any](m map[string]T) string {
+	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
+}
+
+func (plan explainPlan) run(out io.Writer) error {
+	e := plan.explain()
+	if plan.json {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(e)
+	}
+	return e.write(out)
+}
+
+func (plan explainPlan) explain() explanation {
+	class := plan.class
+	e := explanation{
+		Revision: plan.records.Revision,
+		Class:    class.Name, Importance: class.Importance, DeadlineMillis: int64(class.Deadline), Allowance: class.Allowance,
+		Repeatable: class.Repeatable, LateIsWorthless: class.LateIsWorthless,
+		Service: plan.service.Name, Needs: append([]string{}, class.Capabilities[plan.service.Name]...),
+		Tenant: plan.tenant, Zone: plan.zone,
+		Usable: []explainedTarget{}, LeftOut: []explainedTarget{},
+	}
+	if tenant := plan.records.Tenants[plan.tenant]; tenant != nil {
+		e.TenantKnown, e.TenantShare = true, tenant.Share
+	}
+	for _, name := range slices.Sorted(maps.Keys(plan.records.Targets)) {
+		target := plan.records.Targets[name]
+		if target.Service != plan.service.Name {
+			continue
+		}
+		explained := explainedTarget{
+			Name: name, Zone: target.Zone,
+			Slots: min(target.Slots, plan.service.SlotsMax), Conns: min(target.Conns, plan.service.ConnsMax),
+		}
+		if lacks := record.Lacks(target, e.Needs); len(lacks) > 0 {
+			explained.Why = "lacks " + strings.Join(lacks, ", ")
+			e.LeftOut = append(e.LeftOut, explained)
+			continue
+		}
+		switch plan.zone {
+		case "":
+			explained.Why = "has all capabilities"
+		case target.Zone:
+			explained.Why = "own zone, preferred"
+		default:
+			explained.Why = fmt.Sprintf("other zone, used when the expected delay in the own zone is more than %d ms longer", plan.service.ZoneDelay)
+		}
+		e.Usable = append(e.Usable, explained)
+	}
+	return e
+}
+
+func (e explanation) write(out io.Writer) error {
+	repeatable := "repeatable"
+	if !e.Repeatable {
+		repeatable = "not repeatable"
+	}
+	late := ""
+	if e.LateIsWorthless {
+		late = ", a late answer is worthless"
+	}
+	needs := "needs no capability"
+	if len(e.Needs) > 0 {
+		needs = "needs " + strings.Join(e.Needs, ", ")
+	}
+	tenant := "no limit of its share"
+	switch {
+	case !e.TenantKnown:
+		tenant = "not in the records, so no limit of its share"
+	case e.TenantShare > 0:
+		tenant = fmt.Sprintf("at most %g of a target's slots under overload", e.TenantShare)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "Class\t%s: importance %d, deadline %d ms, allowance of %s, %s%s\n",
+		e.Class, e.Importance, e.DeadlineMillis, count(e.Allowance, "retry"), repeatable, late)
+	fmt.Fprintf(w, "Service\t%s: %s\n", e.Service, needs)
+	fmt.Fprintf(w, "Tenant\t%s: %s\n", e.Tenant, tenant)
+	writeTargets(w, "Can serve", e.Usable)
+	writeTargets(w, "Left out", e.LeftOut)
+	return w.Flush()
+}
+
+func writeTargets(w io.Writer, title string, targets []explainedTarget) {
+	if len(targets) == 0 {
+		fmt.Fprintf(w, "%s\tnone\n", title)
+		return
+	}
+	for _, t := range targets {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d slots\t%d connections\t%s\n", title, t.Name, t.Zone, t.Slots, t.Conns, t.Why)
+	}
+}
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -25,6 +25,8 @@
 // verbs lists the subcommands in the order of the help text.
 func verbTable() []verb {
 	return []verb{
+		{"check", "check record sets and report all faults", runCheck},
+		{"explain", "tell which upstreams can serve a request, and why", runExplain},
 		{"version", "print the version", runVersion},
 		{"help", "print this list", runHelp},
 	}
--- /dev/null
+++ b/verbs/verbs_test.go
@@ -0,0 +1,59 @@
+package verbs
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the expected output of the cases")
+
+// Guards against verbs whose output or exit code changes unnoticed. A case is a
+// file: the command line, with settings of the environment before it, then the
+// exit code and both outputs.
+func TestCases(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, setting := range os.Environ() {
+				if name, _, _ := strings.Cut(setting, "="); strings.HasPrefix(name, "GYPSUMRAIL_") {
+					t.Setenv(name, "") // restores the variable after the case
+					os.Unsetenv(name)
+				}
+			}
+			command, _, _ := strings.Cut(string(data), "\n")
+			words := strings.Fields(strings.TrimPrefix(command, "$ "))
+			for len(words) > 0 && strings.Contains(words[0], "=") {
+				name, value, _ := strings.Cut(words[0], "=")
+				t.Setenv(name, value)
+				words = words[1:]
+			}
+			if len(words) == 0 || words[0] != "gypsumrail" {
+				t.Fatalf("the first line %q is not a command", command)
+			}
+			var out, errOut strings.Builder
+			code := Main(words[1:], &out, &errOut)
+			got := fmt.Sprintf("%s\nexit %d\n-- out --\n%s-- err --\n%s", command, code, &out, &errOut)
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(string(data), got); diff != "" && !*update {
+				t.Errorf("output differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
