Carry the report in Resolve and parse the platform's list

The reducer asks an upstream for its epoch with a Resolve that has no key, so the answer carries the report. The list of instances is parsed strictly and as a whole: a list that is taken in part would make instances vanish.

--- a/peer/client.go
+++ b/peer/client.go
@@ -97,15 +97,19 @@
 	return version, content, nil
 }
 
-// Resolve asks the home of a key about an attempt, over a new connection.
+// Resolve asks the home of a key about an attempt, or with an empty key only for
+// its report, over a new connection.
 func (c *Client) Resolve(ctx context.Context, address, key string, attempt gypsumrail.HomeAttempt) (Resolution, error) {
 	answer, err := control(c.fresh, address).Resolve(ctx, &ResolveRequest{Key: key, HomeAttempt: uint32(attempt)})
 	if err != nil {
 		return Resolution{}, errorFrom(err)
 	}
 	r := Resolution{Outcome: gypsumrail.Outcome(answer.GetOutcome()), Reason: gypsumrail.Reason(answer.GetReason())}
-	if !wire.ValidOutcome(r.Outcome) {
+	if !wire.ValidOutcome(r.Outcome) && (key != "" || r.Outcome != "") {
 		return Resolution{}, fmt.Errorf("%w: outcome %.16q", ErrMalformed, r.Outcome)
 	}
+	if r.Report, err = fromReport(answer.GetReport()); err != nil {
+		return Resolution{}, err
+	}
 	return r, nil
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -13,6 +13,8 @@
 const (
 	entriesMax = 1024
 	valuesMax  = 16
+	keyMax     = 256
+	slotsMax   = 1 << 20
 )
 
 func toInstance(i gypsumrail.Instance) *InstanceMessage {
@@ -94,3 +96,29 @@
 	}
 	return e, nil
 }
+
+func toReport(r *gypsumrail.Report) *ReportMessage {
+	if r == nil {
+		return nil
+	}
+	return &ReportMessage{
+		Instance: r.Instance, Incarnation: uint64(r.Incarnation), Sequence: r.Sequence, Limit: count(r.Limit),
+		InFlight: count(r.InFlight), Queued: count(r.Queued), Threshold: count(int(r.Threshold)), Epoch: r.Epoch, Leaving: r.Leaving,
+	}
+}
+
+func count(n int) uint32 { return uint32(min(max(n, 0), slotsMax)) }
+
+func fromReport(m *ReportMessage) (*gypsumrail.Report, error) {
+	if m == nil {
+		return nil, nil
+	}
+	if !wire.ValidName(m.GetInstance()) || max(m.GetLimit(), m.GetInFlight(), m.GetQueued()) > slotsMax || m.GetThreshold() > uint32(gypsumrail.LevelMax) {
+		return nil, fmt.Errorf("%w: report of %.64q is outside its range", ErrMalformed, m.GetInstance())
+	}
+	return &gypsumrail.Report{
+		Instance: m.GetInstance(), Incarnation: gypsumrail.Incarnation(m.GetIncarnation()), Sequence: m.GetSequence(),
+		Limit: int(m.GetLimit()), InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()),
+		Threshold: gypsumrail.Level(m.GetThreshold()), Epoch: m.GetEpoch(), Leaving: m.GetLeaving(),
+	}, nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -39,10 +39,12 @@
 	ErrUnavailable = errors.New("no answer from the peer")
 )
 
-// Resolution is what the home of a key knows about an attempt.
+// Resolution is what the home of a key knows about an attempt. The outcome is
+// empty if the question named no key.
 type Resolution struct {
 	Outcome gypsumrail.Outcome
 	Reason  gypsumrail.Reason
+	Report  *gypsumrail.Report // nil if the home sent none
 }
 
 // Handler answers control messages. Implementations are safe for concurrent use.
@@ -52,7 +54,7 @@
 	// Pull returns the compressed content of a value whose revision is at least that asked for,
 	// or ErrNotFound. See Compress.
 	Pull(ctx context.Context, wanted gypsumrail.ValueVersion) (gypsumrail.ValueVersion, []byte, error)
-	// Resolve tells whether an attempt of a key ran.
+	// Resolve tells whether an attempt of a key ran. With an empty key it only gives the report.
 	Resolve(ctx context.Context, key string, attempt gypsumrail.HomeAttempt) (Resolution, error)
 }
 
--- /dev/null
+++ b/wire/list.go
@@ -0,0 +1,78 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// instancesMax bounds the platform's list. The target size is 640 instances.
+const instancesMax = 8192
+
+type listBody struct {
+	Instances []listEntry
+}
+
+type listEntry struct {
+	Name        string
+	Service     string
+	Zone        string
+	Address     string
+	Incarnation uint64 `json:",omitempty"`
+	Leaving     bool   `json:",omitempty"`
+}
+
+// ParseInstances reads the platform's list of instances. A malformed entry
+// makes the whole list an error, a *FieldError that names the entry.
+func ParseInstances(content []byte) ([]gypsumrail.Instance, error) {
+	var body listBody
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return nil, fmt.Errorf("list of instances: %w", err)
+	}
+	if decoder.More() {
+		return nil, &FieldError{Field: "Instances", Problem: "is followed by more content"}
+	}
+	if len(body.Instances) > instancesMax {
+		return nil, &FieldError{Field: "Instances", Problem: fmt.Sprintf("has more than %d entries", instancesMax)}
+	}
+	out := make([]gypsumrail.Instance, 0, len(body.Instances))
+	seen := make(map[string]bool, len(body.Instances))
+	for i, e := range body.Instances {
+		if !validName(e.Name) || !validName(e.Service) || !validName(e.Zone) || !ValidAddress(e.Address) {
+			return nil, &FieldError{Field: fmt.Sprintf("Instances[%d]", i), Problem: "has a missing or malformed name, service, zone or address"}
+		}
+		if seen[e.Name] {
+			return nil, &FieldError{Field: fmt.Sprintf("Instances[%d]", i), Problem: "repeats a name"}
+		}
+		seen[e.Name] = true
+		state := gypsumrail.Live
+		if e.Leaving {
+			state = gypsumrail.Leaving
+		}
+		out = append(out, gypsumrail.Instance{
+			Name: e.Name, Service: e.Service, Zone: e.Zone, Address: e.Address,
+			Incarnation: gypsumrail.Incarnation(e.Incarnation), State: state,
+		})
+	}
+	return out, nil
+}
+
+// FormatInstances writes a list that ParseInstances reads.
+func FormatInstances(list []gypsumrail.Instance) ([]byte, error) {
+	body := listBody{Instances: make([]listEntry, 0, len(list))}
+	for _, i := range list {
+		body.Instances = append(body.Instances, listEntry{
+			Name: i.Name, Service: i.Service, Zone: i.Zone, Address: i.Address,
+			Incarnation: uint64(i.Incarnation), Leaving: i.State == gypsumrail.Leaving,
+		})
+	}
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("list of instances: %w", err)
+	}
+	return content, nil
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -207,3 +207,31 @@
 		}
 	})
 }
+
+// Guards against a list of instances that is taken in part, or that loses fields.
+func TestInstances(t *testing.T) {
+	want := []gypsumrail.Instance{
+		{Name: "a", Service: "s", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live},
+		{Name: "b", Service: "s", Zone: "z", Address: "[::1]:2", Incarnation: 7, State: gypsumrail.Leaving},
+	}
+	content, err := FormatInstances(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ParseInstances(content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("parsed list differs (-want +got):\n%s", diff)
+	}
+	entry := `{"Name":"a","Service":"s","Zone":"z","Address":"127.0.0.1:1"}`
+	for _, malformed := range []string{
+		"", "[]", `{"Instances":[{"Name":"a"}]}`, `{"Instances":[` + entry + `,` + entry + `]}`, `{"Instances":[],"More":1}`,
+		`{"Instances":[]}{}`, `{"Instances":[{"Name":"a","Service":"s","Zone":"z","Address":"host:1"}]}`,
+	} {
+		if _, err := ParseInstances([]byte(malformed)); err == nil {
+			t.Errorf("%s was accepted", malformed)
+		}
+	}
+}
