Read the record sets of traces with package record

Record sets in traces are now what operators publish, with all of the checks that a node makes, instead of a second form of the same data. TestReadRefusesLargeTree replaces TestReadRefusesCycle, because package record already refuses cycles.

--- a/draws/draws.go
+++ b/draws/draws.go
@@ -67,7 +67,7 @@
 		}
 		tree := trees[phase.Class]
 		if tree == nil {
-			class := file.Header.Records.Classes[phase.Class]
+			class := file.Records.Classes[phase.Class]
 			tree = &Tree{Class: class}
 			tree.add(file, class.Service)
 			trees[phase.Class] = tree
--- a/fakes/plan.go
+++ b/fakes/plan.go
@@ -30,7 +30,7 @@
 func NewPlan(file *trace.File, target *gypsumrail.Target) Plan {
 	var faults []*trace.Fault
 	points := []draws.Micros{0}
-	cold := draws.Of(file.Header.Records.Services[target.Service].ColdStart)
+	cold := draws.Of(file.Records.Services[target.Service].ColdStart)
 	for i := range file.Faults {
 		f := &file.Faults[i]
 		if f.Service != target.Service || (f.Target != "" && f.Target != target.Name) {
--- a/trace/check.go
+++ b/trace/check.go
@@ -45,7 +45,8 @@
 	return nil
 }
 
-func (h *Header) check() error {
+func (f *File) checkHeader() error {
+	h := &f.Header
 	switch h.Kind {
 	case KindNode:
 		if h.Self.Name == "" {
@@ -56,11 +57,13 @@
 	default:
 		return fmt.Errorf("unknown Kind %q; known are Node and Scenario", h.Kind)
 	}
-	if h.Records == nil {
+	if f.Records == nil {
 		return errors.New("a Scenario needs Records or RecordsFile")
 	}
-	if err := checkRecords(h.Records); err != nil {
-		return err
+	for _, target := range f.Records.Targets {
+		if target.Conns < target.Slots {
+			return fmt.Errorf("target %q accepts fewer connections than it has slots", target.Name)
+		}
 	}
 	if h.Until <= 0 || h.Until > maxUntil {
 		return fmt.Errorf("length Until is %d; the range is 1 to %d", h.Until, maxUntil)
@@ -86,28 +89,6 @@
 	return nil
 }
 
-func checkRecords(records *gypsumrail.Records) error {
-	for name, service := range records.Services {
-		if service == nil || service.Name != name {
-			return fmt.Errorf("field Records: service %q is empty or has another name", name)
-		}
-	}
-	for name, target := range records.Targets {
-		if target == nil || target.Name != name || records.Services[target.Service] == nil {
-			return fmt.Errorf("field Records: target %q is empty, has another name or an unknown service", name)
-		}
-		if target.Slots < 1 || target.Conns < target.Slots || target.Conns > 1_000_000 {
-			return fmt.Errorf("field Records: target %q needs 1 <= Slots <= Conns <= 1000000", name)
-		}
-	}
-	for name, class := range records.Classes {
-		if class == nil || class.Name != name || records.Services[class.Service] == nil {
-			return fmt.Errorf("field Records: class %q is empty, has another name or an unknown service", name)
-		}
-	}
-	return nil
-}
-
 func (f *File) addLine(l *Line) error {
 	set := 0
 	var err error
@@ -134,7 +115,7 @@
 }
 
 func (f *File) addPhase(p *Phase) error {
-	records := f.Header.Records
+	records := f.Records
 	if records.Classes[p.Class] == nil {
 		return fmt.Errorf("unknown class %q", p.Class)
 	}
@@ -162,7 +143,7 @@
 }
 
 func (f *File) hasZone(zone string) bool {
-	for _, t := range f.Header.Records.Targets {
+	for _, t := range f.Records.Targets {
 		if t.Zone == zone {
 			return true
 		}
@@ -171,7 +152,7 @@
 }
 
 func (f *File) addCalls(c *Calls) error {
-	records := f.Header.Records
+	records := f.Records
 	service := records.Services[c.Service]
 	if service == nil || records.Classes[c.Class] == nil {
 		return fmt.Errorf("unknown class %q or service %q", c.Class, c.Service)
@@ -191,7 +172,7 @@
 }
 
 func (f *File) addWork(w *Work) error {
-	records := f.Header.Records
+	records := f.Records
 	if records.Services[w.Service] == nil || (w.Class != "" && records.Classes[w.Class] == nil) {
 		return fmt.Errorf("unknown class %q or service %q", w.Class, w.Service)
 	}
@@ -206,7 +187,7 @@
 }
 
 func (f *File) addFault(fault *Fault) error {
-	records := f.Header.Records
+	records := f.Records
 	if records.Services[fault.Service] == nil {
 		return fmt.Errorf("unknown service %q", fault.Service)
 	}
@@ -244,7 +225,7 @@
 		p := &f.Phases[i]
 		requests += p.Rate * float64(p.Until-p.From) / 1000
 		calls := 0
-		if err := f.checkTree(p.Class, f.Header.Records.Classes[p.Class].Service, 1, &calls); err != nil {
+		if err := f.checkTree(p.Class, f.Records.Classes[p.Class].Service, 1, &calls); err != nil {
 			return err
 		}
 	}
--- a/trace/reader.go
+++ b/trace/reader.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/record"
 )
 
 // Bounds of a trace. A platform value is at most 1 MB, so a line can hold
@@ -35,18 +36,23 @@
 // Unwrap returns the fault without its place.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Loader returns the records of a path that a header names.
-type Loader func(path string) (*gypsumrail.Records, error)
+// Loader returns the content of the record set that a header names.
+type Loader func(path string) ([]byte, error)
 
-// Open reads a trace file. The loader gets paths relative to the working directory.
-func Open(path string, load Loader) (*File, error) {
+// Open reads a trace file and the record set that it names.
+func Open(path string) (*File, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("trace: %w", err)
 	}
 	defer f.Close() //nolint:errcheck // Nothing was written.
-	return Read(f, path, func(records string) (*gypsumrail.Records, error) {
-		return load(filepath.Join(filepath.Dir(path), records))
+	return Read(f, path, func(records string) ([]byte, error) {
+		set, err := os.Open(filepath.Join(filepath.Dir(path), records))
+		if err != nil {
+			return nil, err
+		}
+		defer set.Close() //nolint:errcheck // Nothing was written.
+		return io.ReadAll(io.LimitReader(set, record.SizeMax+1))
 	})
 }
 
@@ -122,17 +128,31 @@
 	if err := decode(text, &f.Header); err != nil {
 		return err
 	}
-	if h := &f.Header; h.RecordsFile != "" {
+	if err := f.readRecords(load); err != nil {
+		return err
+	}
+	return f.checkHeader()
+}
+
+func (f *File) readRecords(load Loader) error {
+	h := &f.Header
+	source, content := "Records", []byte(h.Records)
+	if h.RecordsFile != "" {
 		if h.Records != nil {
 			return errors.New("the header has both Records and RecordsFile")
 		}
-		records, err := load(h.RecordsFile)
-		if err != nil {
+		var err error
+		source = h.RecordsFile
+		if content, err = load(h.RecordsFile); err != nil {
 			return fmt.Errorf("field RecordsFile: %w", err)
 		}
-		h.Records = records
 	}
-	return f.Header.check()
+	if content == nil {
+		return nil
+	}
+	records, err := record.Parse(source, content, record.Options{})
+	f.Records = records
+	return err
 }
 
 // decode reads exactly one JSON value without unknown fields.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -7,7 +7,11 @@
 // from the seed in the header. docs/traces.md describes the format.
 package trace
 
-import "github.com/gypsumrail/gypsumrail"
+import (
+	"encoding/json"
+
+	"github.com/gypsumrail/gypsumrail"
+)
 
 // FormatVersion is the version of the format that this package reads and writes.
 const FormatVersion = 1
@@ -28,8 +32,8 @@
 	Name          string
 	Seed          uint64              `json:",omitempty"`
 	Until         gypsumrail.Millis   `json:",omitempty"` // Scenario: length; no request arrives later
-	RecordsFile   string              `json:",omitempty"` // path relative to the trace
-	Records       *gypsumrail.Records `json:",omitempty"` // inline, instead of RecordsFile
+	RecordsFile   string              `json:",omitempty"` // record set, as a path relative to the trace
+	Records       json.RawMessage     `json:",omitempty"` // record set inline, instead of RecordsFile
 	Self          gypsumrail.Instance `json:",omitzero"`  // Node: the instance whose events follow
 	Delays        Delays              `json:",omitzero"`  // Scenario
 	Trigger       Span                `json:",omitzero"`  // Scenario: the cause of the overload, for the recovery time
@@ -150,10 +154,11 @@
 
 // File is a whole trace.
 type File struct {
-	Header Header
-	Phases []Phase
-	Calls  []Calls
-	Work   []Work
-	Faults []Fault
-	Events []gypsumrail.Event
+	Header  Header
+	Records *gypsumrail.Records // what the header's record set says; nil if it has none
+	Phases  []Phase
+	Calls   []Calls
+	Work    []Work
+	Faults  []Fault
+	Events  []gypsumrail.Event
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -11,15 +12,17 @@
 	"github.com/gypsumrail/gypsumrail"
 )
 
-const header = `{"FormatVersion":1,"Kind":"Scenario","Name":"s","Seed":1,"Until":1000,"Records":{"Services":{"a":{"Name":"a"}},` +
-	`"Targets":{"a1":{"Name":"a1","Service":"a","Zone":"z","Slots":2,"Conns":4}},"Classes":{"c":{"Name":"c","Service":"a"}}}}` + "\n"
+const header = `{"FormatVersion":1,"Kind":"Scenario","Name":"s","Seed":1,"Until":1000,"Records":{"Revision":1,"Records":[` +
+	`{"SchemaVersion":1,"Kind":"Service","Name":"a","SlotsMax":2,"ConnsMax":4},` +
+	`{"SchemaVersion":1,"Kind":"Target","Name":"a1","Service":"a","Zone":"z","Slots":2,"Conns":4},` +
+	`{"SchemaVersion":1,"Kind":"Class","Name":"c","Importance":1,"DeadlineMillis":9,"Repeatable":true,"Service":"a","Uses":["a"]}]}}` + "\n"
 
 const (
 	workLine  = `{"Work":{"Service":"a","MeanMillis":5,"Spread":"Fixed"}}` + "\n"
 	phaseLine = `{"Phase":{"Class":"c","Zone":"z","Rate":10,"From":0,"Until":1000,"Deadline":100}}` + "\n"
 )
 
-func noLoader(string) (*gypsumrail.Records, error) { return nil, errors.New("no such file") }
+func noLoader(string) ([]byte, error) { return nil, errors.New("no such file") }
 
 // Guards against a reader that accepts what it does not understand, which
 // would replay another scenario than the one written, and against errors
@@ -52,13 +55,25 @@
 	}
 }
 
-// Guards against recursion without end on records whose services call each other.
-func TestReadRefusesCycle(t *testing.T) {
-	text := strings.Replace(header, `{"Name":"a"}`, `{"Name":"a","Dependencies":["a"]}`, 1) +
-		`{"Calls":{"Class":"c","Service":"a","Steps":[["a"]]}}` + "\n" + workLine + phaseLine
+// Guards against call trees that exceed what a replay can hold: each of the
+// services below calls the next one twice, so ten of them make 1023 calls.
+func TestReadRefusesLargeTree(t *testing.T) {
+	records := `{"SchemaVersion":1,"Kind":"Class","Name":"c","Importance":1,"DeadlineMillis":9,"Repeatable":true,"Service":"s0","Uses":["s0"]}`
+	var lines strings.Builder
+	for i := range 10 {
+		records += fmt.Sprintf(`,{"SchemaVersion":1,"Kind":"Service","Name":"s%d","SlotsMax":2,"ConnsMax":4,"Dependencies":[%s]}`+
+			`,{"SchemaVersion":1,"Kind":"Target","Name":"t%d","Service":"s%d","Zone":"z","Slots":2,"Conns":4}`, i,
+			strings.TrimSuffix(fmt.Sprintf(`"s%d"`, i+1), fmt.Sprintf(`"s%d"`, 10)), i, i)
+		fmt.Fprintf(&lines, `{"Work":{"Service":"s%d","MeanMillis":5,"Spread":"Fixed"}}`+"\n", i)
+		if i < 9 {
+			fmt.Fprintf(&lines, `{"Calls":{"Class":"c","Service":"s%d","Steps":[["s%d"],["s%d"]]}}`+"\n", i, i+1, i+1)
+		}
+	}
+	text := `{"FormatVersion":1,"Kind":"Scenario","Name":"s","Until":1000,"Records":{"Revision":1,"Records":[` + records + "]}}\n" +
+		lines.String() + phaseLine
 	_, err := Read(strings.NewReader(text), "s", noLoader)
-	if err == nil || !strings.Contains(err.Error(), "deeper than 16") {
-		t.Errorf("error is %v, want one about the depth", err)
+	if err == nil || !strings.Contains(err.Error(), "more than 256") {
+		t.Errorf("error is %v, want one about the size of the tree", err)
 	}
 }
 
