Merge three sources into a directory of instances

Entries of one name have a total order (incarnation, leaving, version, suspect, then the texts to break ties), and a merge takes the higher one, so directories converge whatever the order, loss or repetition of messages. The own entry is changed by no other; claims that it cannot refute are reported by Contested.

If most of the fleet is ahead, the own clock is taken as wrong. When the directory is full, an instance that the list or itself names replaces one that only peers spoke of.

A list without incarnations marks a run as leaving only if an earlier list named that run live: the list lags, and the mark cannot be taken back. One in 8 exchanges goes to a suspect instance, else a partition would never heal.

--- /dev/null
+++ b/member/gossip_test.go
@@ -0,0 +1,366 @@
+package member_test
+
+import (
+	"fmt"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/member"
+)
+
+// run identifies one run of an instance in one directory.
+type run struct {
+	directory   int
+	name        string
+	incarnation gypsumrail.Incarnation
+}
+
+// message is news on its way to a directory.
+type message struct {
+	to      int
+	entries []gypsumrail.Instance
+}
+
+// world is a few directories and the messages between them, which can be lost,
+// repeated and reordered.
+type world struct {
+	now         gypsumrail.Millis
+	directories []*member.Directory
+	own         []gypsumrail.Instance // what each instance last said of itself
+	left        map[run]bool
+	wire        []message
+}
+
+func (w *world) names() []string {
+	names := []string{"other-0", "other-1", "other-2"}
+	for _, own := range w.own {
+		names = append(names, own.Name)
+	}
+	return names
+}
+
+// check fails if a run that was known as leaving is not any more, or if a self
+// entry changed in anything but its version and its own decision to leave.
+func (w *world) check(t *rapid.T) {
+	for at, d := range w.directories {
+		for _, name := range w.names() {
+			i, _ := d.Lookup(name)
+			r := run{at, name, i.Incarnation}
+			if w.left[r] && i.State != gypsumrail.Leaving {
+				t.Fatalf("directory %d revived %+v", at, i)
+			}
+			w.left[r] = i.State == gypsumrail.Leaving
+		}
+		self := d.Self()
+		if self.Version < w.own[at].Version {
+			t.Fatalf("version of %s went back from %d to %d", self.Name, w.own[at].Version, self.Version)
+		}
+		w.own[at].Version = self.Version
+		if stored, _ := d.Lookup(self.Name); self != w.own[at] || stored != self {
+			t.Fatalf("self entry %+v, stored %+v, want %+v", self, stored, w.own[at])
+		}
+	}
+}
+
+// deliver takes a message from the wire, or repeats one.
+func (w *world) deliver(i int, keep bool) {
+	m := w.wire[i]
+	if !keep {
+		w.wire = slices.Delete(w.wire, i, i+1)
+	}
+	w.directories[m.to].Merge(w.now, m.entries)
+}
+
+// sync lets two directories exchange all differing buckets.
+func (w *world) sync(a, b *member.Directory) {
+	bucketsA, bucketsB := a.Buckets(), b.Buckets()
+	for i := range bucketsA {
+		if bucketsA[i] != bucketsB[i] {
+			mine, others := a.Bucket(i), b.Bucket(i)
+			a.Merge(w.now, others)
+			b.Merge(w.now, mine)
+		}
+	}
+}
+
+// Guards against directories that stay different after they heard the same
+// news in different orders, against a leaving run that comes back, and against
+// self entries that others overwrite.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{left: map[run]bool{}}
+		n := rapid.IntRange(2, 5).Draw(t, "directories")
+		for i := range n {
+			w.own = append(w.own, instance(fmt.Sprintf("node-%d", i)))
+			w.directories = append(w.directories, member.New(w.own[i], member.Settings{}))
+		}
+		index := rapid.IntRange(0, n-1)
+		// Conflicting entries of instances without a directory. All fields are
+		// from small sets, so that ties happen.
+		other := rapid.Custom(func(t *rapid.T) gypsumrail.Instance {
+			i := instance(fmt.Sprintf("other-%d", rapid.IntRange(0, 2).Draw(t, "other")))
+			i.Incarnation = epoch(rapid.IntRange(0, 2).Draw(t, "start"))
+			i.Version = rapid.Uint64Range(0, 3).Draw(t, "version")
+			i.State = rapid.SampledFrom([]gypsumrail.State{gypsumrail.Live, gypsumrail.Suspect, gypsumrail.Leaving}).Draw(t, "state")
+			i.Address = rapid.SampledFrom([]string{"p:1", "q:1"}).Draw(t, "address")
+			return i
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"leave": func(t *rapid.T) {
+				i := index.Draw(t, "node")
+				w.directories[i].Leave(w.now)
+				w.own[i].State = gypsumrail.Leaving
+			},
+			"restart": func(t *rapid.T) {
+				i := index.Draw(t, "node")
+				w.own[i].Incarnation += 1 << 20
+				w.own[i].State, w.own[i].Version = gypsumrail.Live, 1
+				w.directories[i] = member.New(w.own[i], member.Settings{})
+				for r := range w.left {
+					if r.directory == i {
+						delete(w.left, r)
+					}
+				}
+			},
+			"suspect": func(t *rapid.T) {
+				w.directories[index.Draw(t, "node")].MarkSuspect(w.now, rapid.SampledFrom(w.names()).Draw(t, "of"))
+			},
+			"hear": func(t *rapid.T) {
+				w.directories[index.Draw(t, "node")].Merge(w.now, []gypsumrail.Instance{other.Draw(t, "news")})
+			},
+			"observe": func(t *rapid.T) {
+				from := index.Draw(t, "from")
+				w.directories[index.Draw(t, "node")].Observe(w.now, w.directories[from].Self())
+			},
+			"list": func(t *rapid.T) {
+				list := []gypsumrail.Instance{other.Draw(t, "listed")}
+				w.directories[index.Draw(t, "node")].MergeList(w.now, list)
+			},
+			"send": func(t *rapid.T) {
+				from := w.directories[index.Draw(t, "from")]
+				entries := from.Rumors(w.now, 3)
+				if rapid.Bool().Draw(t, "bucket") {
+					entries = from.Bucket(rapid.IntRange(0, gypsumrail.DigestBuckets-1).Draw(t, "number"))
+				}
+				w.wire = append(w.wire, message{index.Draw(t, "to"), entries})
+			},
+			"deliver": func(t *rapid.T) {
+				if len(w.wire) > 0 {
+					w.deliver(rapid.IntRange(0, len(w.wire)-1).Draw(t, "message"), rapid.Bool().Draw(t, "keep"))
+				}
+			},
+			"lose": func(t *rapid.T) {
+				if len(w.wire) > 0 {
+					i := rapid.IntRange(0, len(w.wire)-1).Draw(t, "message")
+					w.wire = slices.Delete(w.wire, i, i+1)
+				}
+			},
+			"": func(t *rapid.T) {
+				w.now += 10
+				w.check(t)
+			},
+		})
+		// Two passes carry all news to all; one more carries the refutations.
+		for range 3 {
+			for a := range n {
+				for b := range n {
+					w.sync(w.directories[a], w.directories[b])
+				}
+			}
+		}
+		w.check(t)
+		for i, d := range w.directories {
+			for bucket := range gypsumrail.DigestBuckets {
+				if diff := cmp.Diff(w.directories[0].Bucket(bucket), d.Bucket(bucket)); diff != "" {
+					t.Fatalf("bucket %d of directories 0 and %d differs:\n%s", bucket, i, diff)
+				}
+			}
+			if w.directories[0].Buckets() != d.Buckets() {
+				t.Fatalf("equal contents have different hashes")
+			}
+			if i := w.own[i]; i.State == gypsumrail.Live {
+				if got, _ := w.directories[0].Lookup(i.Name); got.State == gypsumrail.Suspect {
+					t.Fatalf("%s is still suspect after it heard of it", i.Name)
+				}
+			}
+		}
+	})
+}
+
+// fleet returns n directories that know each other and have no news.
+func fleet(n int) []*member.Directory {
+	all := make([]gypsumrail.Instance, n)
+	for i := range all {
+		all[i] = instance(fmt.Sprintf("node-%d", i))
+	}
+	directories := make([]*member.Directory, n)
+	for i := range directories {
+		directories[i] = member.New(all[i], member.Settings{})
+		directories[i].MergeList(0, all)
+		for len(directories[i].Rumors(0, n)) > 0 {
+			continue
+		}
+	}
+	return directories
+}
+
+// mode is what an exchange carries and how much of it arrives.
+type mode struct {
+	name            string
+	rumors, digests bool
+	lost            float64 // share of the messages in each direction
+}
+
+// spread lets each directory start one exchange a round until all know that
+// node-0 leaves. News that arrive in a round are passed on in the next. It
+// returns the rounds and the entries sent in all of them.
+func spread(directories []*member.Directory, random *rand.Rand, m mode) (rounds, entries int) {
+	byName := map[string]*member.Directory{}
+	for _, d := range directories {
+		byName[d.Self().Name] = d
+	}
+	directories[0].Leave(0)
+	now := gypsumrail.Millis(0)
+	send := func(arrivals *[]func(), to *member.Directory, news []gypsumrail.Instance) {
+		entries += len(news)
+		if random.Float64() >= m.lost {
+			*arrivals = append(*arrivals, func() { to.Merge(now, news) })
+		}
+	}
+	unaware := func(d *member.Directory) bool {
+		i, _ := d.Lookup("node-0")
+		return i.State != gypsumrail.Leaving
+	}
+	for ; slices.ContainsFunc(directories, unaware) && rounds < 100; rounds++ {
+		now += gypsumrail.Second
+		var arrivals []func()
+		for _, d := range directories {
+			partner, ok := d.Partner(random.Uint64())
+			if !ok {
+				continue
+			}
+			peer := byName[partner.Name]
+			if m.rumors {
+				send(&arrivals, peer, d.Rumors(now, 32))
+				send(&arrivals, d, peer.Rumors(now, 32))
+			}
+			mine, theirs := d.Buckets(), peer.Buckets()
+			for i := range mine {
+				if m.digests && mine[i] != theirs[i] {
+					send(&arrivals, d, peer.Bucket(i))
+				}
+			}
+		}
+		for _, arrive := range arrivals {
+			arrive()
+		}
+	}
+	return rounds, entries
+}
+
+// Guards against rumors that die out before all know them or that take more
+// than a few rounds, and against digests that do not replace lost rumors.
+func TestRounds(t *testing.T) {
+	modes := []mode{
+		{"rumors", true, false, 0},
+		{"rumors, half of the messages lost", true, false, 0.5},
+		{"digests", false, true, 0},
+		{"rumors and digests", true, true, 0},
+	}
+	for _, m := range modes {
+		for _, n := range []int{10, 40, 160, 640} {
+			rounds, entries := spread(fleet(n), rand.New(rand.NewPCG(1, uint64(n))), m)
+			t.Logf("%s: %d directories: all know after %d rounds, %.1f entries sent by a directory in a round",
+				m.name, n, rounds, float64(entries)/float64(n*rounds))
+			// Twice log2(n), and as much again if half is lost.
+			bound := 2 * bits.Len(uint(n))
+			if m.lost > 0 {
+				bound *= 2
+			}
+			if rounds > bound {
+				t.Errorf("%s: %d directories: %d rounds, more than %d", m.name, n, rounds, bound)
+			}
+		}
+	}
+}
+
+// Guards against a rumor that circulates without end, and against messages over the limit.
+func TestRumorsBounded(t *testing.T) {
+	d := fleet(100)[0]
+	for i := 1; i < 100; i++ {
+		d.MarkSuspect(0, fmt.Sprintf("node-%d", i))
+	}
+	sends := map[string]int{}
+	for range 1000 {
+		rumors := d.Rumors(0, 1000)
+		if len(rumors) > 32 {
+			t.Fatalf("%d entries in a message", len(rumors))
+		}
+		for _, i := range rumors {
+			sends[i.Name]++
+		}
+	}
+	for name, n := range sends {
+		if n != 21 { // 3·log2(100), log2 rounded up
+			t.Errorf("%s was sent %d times", name, n)
+		}
+	}
+	if len(sends) != 99 || len(d.Rumors(0, 0)) != 0 {
+		t.Errorf("%d rumors", len(sends))
+	}
+}
+
+// Guards against a partition that never heals because each side exchanges only
+// with instances that it believes to be live.
+func TestPartitionHeals(t *testing.T) {
+	directories := fleet(10)
+	for i, d := range directories {
+		for j := range directories {
+			if i%2 != j%2 {
+				d.MarkSuspect(0, fmt.Sprintf("node-%d", j))
+			}
+		}
+	}
+	w := &world{directories: directories}
+	random := rand.New(rand.NewPCG(3, 4))
+	suspicions := func() (n int) {
+		for _, d := range directories {
+			for _, i := range d.Upstreams("front") {
+				if i.State != gypsumrail.Live {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for round := 0; suspicions() > 0; round++ {
+		if round == 100 {
+			t.Fatalf("%d suspicions are left after %d rounds", suspicions(), round)
+		}
+		for _, d := range directories {
+			partner, _ := d.Partner(random.Uint64())
+			var at int
+			_, _ = fmt.Sscanf(partner.Name, "node-%d", &at)
+			w.sync(d, directories[at])
+		}
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	directories := fleet(640)
+	random := rand.New(rand.NewPCG(1, 2))
+	for b.Loop() {
+		d := directories[0]
+		partner, _ := d.Partner(random.Uint64())
+		d.MarkSuspect(0, partner.Name)
+		d.Merge(0, directories[1].Rumors(0, 32))
+		d.Rumors(0, 32)
+		d.Buckets()
+	}
+}
