--- /dev/null
+++ b/stubs/stubs_test.go
@@ -0,0 +1,172 @@
+package stubs
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+func get(t *testing.T, url string, header ...string) (*http.Response, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(url, "/values/") {
+		r.Method = http.MethodGet
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(r)
+}
+
+// Guards against a platform stand-in that hides a publication from a watch, or
+// whose faults do not show.
+func TestPlatform(t *testing.T) {
+	p, err := NewPlatform("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	url := "http://" + p.Address() + "/values/Records"
+	first := p.Publish(gypsumrail.ValueRecords, []byte("one"))
+	watched := make(chan string, 1)
+	go func() {
+		answer, err := get(t, url+"?After=1&Wait=60000")
+		if err != nil {
+			watched <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(answer.Body)
+		watched <- answer.Header.Get("Revision") + " " + string(body)
+	}()
+	if second := p.Publish(gypsumrail.ValueRecords, []byte("two")); second != first+1 {
+		t.Errorf("revision %d after %d", second, first)
+	}
+	if got := <-watched; got != "2 two" {
+		t.Errorf("the watch got %q", got)
+	}
+	p.SetStale(1)
+	answer, err := get(t, url)
+	if err != nil || answer.Header.Get("Revision") != "1" {
+		t.Errorf("stale platform: %v, %v", answer, err)
+	}
+	if answer, err = get(t, url+"?After=1"); err != nil || answer.StatusCode != http.StatusNoContent {
+		t.Errorf("nothing new: %v, %v", answer, err)
+	}
+	p.SetDown(true)
+	if _, err = get(t, url); err == nil {
+		t.Error("a platform that is down answered")
+	}
+	if total, _ := p.Calls(); total != 4 {
+		t.Errorf("%d calls counted", total)
+	}
+}
+
+// Guards against a target stand-in that miscounts runs or whose cut bodies pass as whole.
+func TestTarget(t *testing.T) {
+	target, err := NewTarget(TargetSettings{Name: "t", AnswerBytes: 100_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	url := "http://" + target.Address() + "/"
+	read := func() error {
+		answer, err := get(t, url, wire.HeaderRequest, "r-1", wire.HeaderKey, "k")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = answer.Body.Close() }()
+		return CheckBody(answer.Body, "r-1")
+	}
+	if err := read(); err != nil {
+		t.Error(err)
+	}
+	target.SetCut(50_000)
+	if err := read(); err == nil {
+		t.Error("a cut body passed as whole")
+	}
+	if target.Ran("r-1") != 2 || target.RanKey("k") != 2 || target.Total() != 2 {
+		t.Errorf("counted %d, %d, %d runs", target.Ran("r-1"), target.RanKey("k"), target.Total())
+	}
+	target.SetCut(-1)
+	target.SetRefusing(true)
+	if answer, err := get(t, url); err != nil || answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a refusing target: %v, %v", answer, err)
+	}
+	target.SetRefusing(false)
+	target.Crash()
+	if err := read(); err == nil {
+		t.Error("a crashed target answered")
+	}
+	if err := target.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if err := read(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an observer that takes a foreign, long or short body for whole.
+func TestCheckBody(t *testing.T) {
+	whole, err := io.ReadAll(newPattern("t", "r-1", 500))
+	if err != nil || len(whole) != 500 {
+		t.Fatalf("%d bytes, %v", len(whole), err)
+	}
+	tests := []struct {
+		name string
+		body []byte
+		ok   bool
+	}{
+		{"whole", whole, true},
+		{"short", whole[:499], false},
+		{"long", append(bytes.Clone(whole), 'x'), false},
+		{"foreign", bytes.Replace(whole, []byte("r-1\nr-1"), []byte("r-1\nr-2"), 1), false},
+		{"empty", nil, false},
+	}
+	for _, test := range tests {
+		if err := CheckBody(bytes.NewReader(test.body), "r-1"); (err == nil) != test.ok {
+			t.Errorf("%s: %v", test.name, err)
+		}
+	}
+	if err := CheckBody(bytes.NewReader(whole), "r-2"); err == nil {
+		t.Error("the answer of another request passed")
+	}
+}
+
+// Guards against a relay whose faults reach connections that they should not.
+func TestRelay(t *testing.T) {
+	target, err := NewTarget(TargetSettings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	relay, err := NewRelay(target.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	url := "http://" + relay.Address() + "/"
+	if _, err := get(t, url); err != nil {
+		t.Error(err)
+	}
+	relay.Hold()
+	relay.Cut()
+	if _, err := get(t, url); err != nil {
+		t.Errorf("a new connection after Hold and Cut: %v", err)
+	}
+	relay.SetRefuse(true)
+	if _, err := get(t, url); err == nil {
+		t.Error("a refusing relay passed a call on")
+	}
+	if relay.Opened() != 3 {
+		t.Errorf("%d connections were opened", relay.Opened())
+	}
+}
