Add the outgoing connections of a node (link)

A failed request tells whether it may have reached the other side: it did not as long as its headers were not written, because the last line of the headers is still in the transport's buffer then. Request bodies are never of a type that http.Transport can rewind, so that it does not resend a GET or a request with an Idempotency-Key when a kept-alive connection closes.

Receipts (102 Processing) re-arm a timer that ends a silent request. An answer without a length or chunks is refused, because its end looks like a broken connection.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,300 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail/stubs"
+)
+
+func source(t *testing.T, content string, length int64) *Source {
+	t.Helper()
+	s, err := NewSource(strings.NewReader(content), length, true, NewBuffers(1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func request(t *testing.T, method, address string, s *Source) *http.Request {
+	t.Helper()
+	body, err := s.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+"/", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ContentLength = s.Length()
+	return r
+}
+
+// server answers the first request on each connection, and closes the
+// connection after it has read another one.
+func server(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	seen := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				b := bufio.NewReader(c)
+				for i := range 2 {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					seen.Add(1)
+					if i == 0 {
+						fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), seen
+}
+
+// Guards against requests that the transport resends by itself when a kept-alive
+// connection closes: a request that may not be repeated would run twice.
+func TestNoResend(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			address, seen := server(t)
+			pool := NewPool()
+			defer pool.Close()
+			for i := range 2 {
+				r := request(t, method, address, source(t, "", 0))
+				r.Header.Set("Idempotency-Key", "k")
+				answer, err := Send(pool, r, Silence{})
+				if i == 0 {
+					if err != nil {
+						t.Fatal(err)
+					}
+					_, _ = io.Copy(io.Discard, answer.Body)
+					_ = answer.Body.Close()
+					continue
+				}
+				var failure *SendError
+				if !errors.As(err, &failure) || !failure.Sent {
+					t.Errorf("a lost answer gives %v", err)
+				}
+			}
+			if n := seen.Load(); n != 2 {
+				t.Errorf("2 requests were seen %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against failures that claim that a request did not run although it was
+// sent, and against requests that could be resent.
+func TestFailure(t *testing.T) {
+	pool := NewPool()
+	defer pool.Close()
+	var failure *SendError
+	if _, err := Send(pool, request(t, http.MethodPost, "127.0.0.1:1", source(t, "x", 1)), Silence{}); !errors.As(err, &failure) || failure.Sent {
+		t.Errorf("a closed port gives %v", err)
+	}
+	r := request(t, http.MethodGet, "127.0.0.1:1", source(t, "", 0))
+	r.Body = http.NoBody
+	if _, err := Send(pool, r, Silence{}); err == nil || !strings.Contains(err.Error(), "could resend") {
+		t.Errorf("a body that can be replayed gives %v", err)
+	}
+	unframed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, _ := w.(http.Hijacker).Hijack()
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nperhaps whole")
+		_ = c.Close()
+	}))
+	defer unframed.Close()
+	if _, err := Send(pool, request(t, http.MethodGet, unframed.Listener.Addr().String(), source(t, "", 0)), Silence{}); !errors.Is(err, errUnframed) {
+		t.Errorf("an answer without a length gives %v", err)
+	}
+}
+
+// Guards against a silent connection that holds a call until its deadline, and
+// against one that is called silent although receipts arrive.
+func TestSilence(t *testing.T) {
+	release := make(chan struct{})
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			for range 4 {
+				w.WriteHeader(http.StatusProcessing)
+				time.Sleep(30 * time.Millisecond)
+			}
+			return
+		}
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}))
+	defer node.Close()
+	defer close(release)
+	relay, err := stubs.NewRelay(node.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	pool := NewPool()
+	defer pool.Close()
+	bounds := Silence{First: 2 * time.Second, Next: 2 * time.Second}
+	answer, err := Send(pool, request(t, http.MethodPut, relay.Address(), source(t, "", 0)), bounds)
+	if err != nil {
+		t.Fatalf("a call with receipts: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	relay.Hold()
+	var failure *SendError
+	_, err = Send(pool, request(t, http.MethodPut, relay.Address(), source(t, "", 0)), Silence{First: 50 * time.Millisecond, Next: time.Minute})
+	if !errors.As(err, &failure) || !failure.Silent || !failure.Sent {
+		t.Errorf("a held connection gives %v", err)
+	}
+	answer, err = Send(pool, request(t, http.MethodPut, relay.Address(), source(t, "", 0)), bounds)
+	if err != nil {
+		t.Fatalf("a new connection after a held one: %v", err)
+	}
+	_ = answer.Body.Close()
+	_, err = Send(pool, request(t, http.MethodPost, relay.Address(), source(t, "", 0)), Silence{First: 50 * time.Millisecond, Next: time.Minute})
+	if !errors.As(err, &failure) || !failure.Silent {
+		t.Errorf("a node without receipts gives %v", err)
+	}
+}
+
+// Guards against an answer that is cut short and looks whole.
+func TestShortBody(t *testing.T) {
+	for _, head := range []string{"Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, _ := w.(http.Hijacker).Hijack()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n5\r\nab", head)
+			_ = c.Close()
+		}))
+		pool := NewPool()
+		answer, err := Send(pool, request(t, http.MethodGet, s.Listener.Addr().String(), source(t, "", 0)), Silence{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err == nil {
+			t.Errorf("%q: a short body ended without an error", head)
+		}
+		_ = answer.Body.Close()
+		pool.Close()
+		s.Close()
+	}
+}
+
+// Guards against a large body that is sent twice in part, and a small one that
+// cannot be sent again.
+func TestSource(t *testing.T) {
+	large := strings.Repeat("x", BufferMax+1)
+	tests := []struct {
+		name    string
+		content string
+		length  int64
+		again   bool
+	}{
+		{"empty", "", 0, true},
+		{"small", "abc", 3, true},
+		{"small of unknown length", "abc", -1, true},
+		{"large", large, int64(len(large)), false},
+		{"large of unknown length", large, -1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := source(t, test.content, test.length)
+			for i := range 2 {
+				body, err := s.Open()
+				if i == 1 && !test.again {
+					if !errors.Is(err, ErrSpent) {
+						t.Errorf("opened again: %v", err)
+					}
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				unused, err := s.Open()
+				if err != nil {
+					t.Fatalf("opened again before it was read: %v", err)
+				}
+				got, err := io.ReadAll(body)
+				if err != nil || !bytes.Equal(got, []byte(test.content)) {
+					t.Errorf("read %d bytes, %v", len(got), err)
+				}
+				if _, err := io.ReadAll(unused); err != nil != !test.again {
+					t.Errorf("a second reader: %v", err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against kept bodies that use memory without bound.
+func TestBuffers(t *testing.T) {
+	buffers := NewBuffers(4)
+	first, err := NewSource(strings.NewReader("abc"), 3, true, buffers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, _ := NewSource(strings.NewReader("abc"), 3, true, buffers)
+	if second.rest == nil {
+		t.Error("a body over the bound was kept")
+	}
+	first.Release()
+	first.Release()
+	if used := buffers.used.Load(); used != 0 {
+		t.Errorf("%d bytes are in use after the release", used)
+	}
+	if _, err := NewSource(strings.NewReader("a"), 3, true, buffers); err == nil {
+		t.Error("a short body was taken for whole")
+	}
+	if used := buffers.used.Load(); used != 0 {
+		t.Errorf("%d bytes are in use after a fault", used)
+	}
+}
+
+// Guards against requests that wait for a connection although their caller left.
+func TestCancelWhileWaiting(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer s.Close()
+	defer close(release)
+	pool := NewPool()
+	pool.SetConns(1)
+	go func() {
+		answer, err := Send(pool, request(t, http.MethodGet, s.Listener.Addr().String(), source(t, "", 0)), Silence{})
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var failure *SendError
+	r := request(t, http.MethodGet, s.Listener.Addr().String(), source(t, "", 0)).WithContext(ctx)
+	if _, err := Send(pool, r, Silence{}); !errors.As(err, &failure) {
+		t.Errorf("got %v", err)
+	}
+}
