--- a/verbs/replay.go
+++ b/verbs/replay.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 
-	"github.com/alexflint/go-arg"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gypsumrail/gypsumrail/draws"
@@ -38,7 +36,7 @@
 
 func runReplay(args []string, out, errOut io.Writer) int {
 	var a replayArgs
-	if code, done := parseArgs("replay", &a, args, out, errOut); done {
+	if code, ok := parseArgs("replay", &a, args, out, errOut); !ok {
 		return code
 	}
 	policies, err := selectPolicies(a.Policy)
@@ -75,25 +73,6 @@
 	return code
 }
 
-// parseArgs parses the arguments of a verb. If done, the verb ends with the code.
-func parseArgs(name string, into any, args []string, out, errOut io.Writer) (code int, done bool) {
-	parser, err := arg.NewParser(arg.Config{Program: "gypsumrail " + name}, into)
-	if err != nil {
-		fmt.Fprintf(errOut, "gypsumrail %s: %v\n", name, err)
-		return ExitBadInput, true
-	}
-	switch err := parser.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		parser.WriteHelp(out)
-		return ExitOK, true
-	case err != nil:
-		parser.WriteUsage(errOut)
-		fmt.Fprintf(errOut, "gypsumrail %s: %v\n", name, err)
-		return ExitBadInput, true
-	}
-	return ExitOK, false
-}
-
 func selectPolicies(name string) ([]replay.Policy, error) {
 	all := replay.Policies()
 	if name == "all" {
