--- /dev/null
+++ b/fakes/target_test.go
@@ -0,0 +1,124 @@
+package fakes
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/draws"
+	"github.com/gypsumrail/gypsumrail/trace"
+)
+
+// host is a driver with a list for an agenda.
+type host struct {
+	now    draws.Micros
+	due    map[draws.Micros][]func()
+	events []string
+}
+
+func (h *host) Now() draws.Micros { return h.now }
+func (h *host) After(delay draws.Micros, f func()) {
+	h.due[h.now+delay] = append(h.due[h.now+delay], f)
+}
+func (h *host) CallOut(_ *Run, _ int, done func(bool)) { h.After(500, func() { done(true) }) }
+func (h *host) Hangup(*Run)                            {}
+func (h *host) Started(run *Run)                       { h.note("start", run) }
+func (h *host) Worked(run *Run, spent draws.Micros)    { h.note(fmt.Sprint("work ", spent), run) }
+func (h *host) Ended(run *Run, _ bool, result gypsumrail.Result) {
+	h.note(fmt.Sprint("end ", result.Outcome, " ", result.Status), run)
+}
+func (h *host) note(what string, run *Run) {
+	h.events = append(h.events, fmt.Sprintf("%d: %d %s", h.now, run.Call, what))
+}
+
+func (h *host) runUntil(end draws.Micros) {
+	for ; h.now <= end; h.now++ {
+		for i := 0; i < len(h.due[h.now]); i++ {
+			h.due[h.now][i]()
+		}
+	}
+}
+
+func newHost() *host { return &host{due: map[draws.Micros][]func(){}} }
+
+func newRun(call gypsumrail.CallID, work draws.Micros, steps [][]int) *Run {
+	tree := &draws.Tree{Calls: []draws.Call{{Steps: steps}}}
+	return &Run{Call: call, Request: &draws.Request{Tree: tree, Work: []draws.Micros{work}}}
+}
+
+// Guards against a fake target that runs more than its slots, loses a queued
+// call, or does not tell truly whether a call ran: the measures of P4 and P5
+// rest on this.
+func TestTarget(t *testing.T) {
+	h := newHost()
+	target := New(h, Plan{{Factor: 1, Slots: 1}, {From: 5000, Factor: 1, Slots: 1, Down: true}}, 3)
+	canceled := newRun(3, 1000, nil)
+	target.Run(newRun(1, 1000, [][]int{{1}}))
+	target.Run(newRun(2, 4000, nil))
+	target.Run(canceled)
+	target.Run(newRun(4, 1000, nil)) // one more than the connections
+	target.Cancel(canceled)
+	h.runUntil(6000)
+	target.Run(newRun(5, 1000, nil))
+	want := []string{
+		"0: 1 start", "0: 4 end NotRun 503", "0: 3 end NotRun 0",
+		"500: 1 work 500", "1500: 1 work 500", "1500: 1 end Ran 200",
+		"1500: 2 start", "5000: 2 work 3500", "5000: 2 end Unknown 0",
+		"6001: 5 end NotRun 0",
+	}
+	if diff := cmp.Diff(want, h.events); diff != "" {
+		t.Errorf("events differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against work that keeps the speed at which it began when a fault
+// starts or ends meanwhile, which would move the recovery time.
+func TestFinish(t *testing.T) {
+	plan := Plan{{Factor: 1}, {From: 1000, Factor: 10}, {From: 2000, Factor: 1}}
+	tests := []struct{ now, work, want draws.Micros }{
+		{0, 500, 500},
+		{0, 1050, 1500},   // 1000 at full speed, 50 at a tenth
+		{1000, 500, 2400}, // 100 by the end of the fault, 400 after it
+		{3000, 500, 3500},
+	}
+	for _, test := range tests {
+		if got := plan.Finish(test.now, test.work); got != test.want {
+			t.Errorf("work of %d from %d ends at %d, want %d", test.work, test.now, got, test.want)
+		}
+	}
+}
+
+// Guards against faults that hit the wrong target or the wrong time.
+func TestNewPlan(t *testing.T) {
+	file := &trace.File{
+		Records: &gypsumrail.Records{Services: map[string]*gypsumrail.Service{"s": {Name: "s", ColdStart: 1000}}},
+		Faults: []trace.Fault{
+			{Kind: trace.Restart, Service: "s", Target: "s-1", Factor: 5, From: 100, Until: 200},
+			{Kind: trace.FewerSlots, Service: "s", Slots: 2, From: 150, Until: 300},
+		},
+	}
+	plan := NewPlan(file, &gypsumrail.Target{Name: "s-1", Service: "s", Slots: 8})
+	type state struct {
+		Down   bool
+		Factor float64
+		Slots  int
+	}
+	tests := []struct {
+		at   draws.Micros
+		want state
+	}{
+		{99_999, state{false, 1, 8}}, {100_000, state{true, 1, 8}}, {150_000, state{true, 1, 2}},
+		{200_000, state{false, 5, 2}}, {700_000, state{false, 3, 8}}, {1_200_000, state{false, 1, 8}},
+	}
+	for _, test := range tests {
+		c := plan.At(test.at)
+		if diff := cmp.Diff(test.want, state{c.Down, c.Factor, c.Slots}); diff != "" {
+			t.Errorf("at %d (-want +got):\n%s", test.at, diff)
+		}
+	}
+	if other := NewPlan(file, &gypsumrail.Target{Name: "s-2", Service: "s", Slots: 8}); other.At(100_000).Down {
+		t.Error("the restart of one target takes another one down")
+	}
+}
--- a/replay/clients.go
+++ b/replay/clients.go
@@ -25,10 +25,16 @@
 	over bool
 }
 
-func (w *world) schedule(request *draws.Request) {
-	w.after(request.At, func() {
+// arrivals starts the clients one after the other, so that the agenda stays short.
+func (w *world) arrivals(requests []draws.Request) {
+	if len(requests) == 0 {
+		return
+	}
+	request := &requests[0]
+	w.after(request.At-w.now, func() {
 		u := &user{world: w, request: request, random: rand.New(rand.NewPCG(request.Seed, 0))}
 		u.next()
+		w.arrivals(requests[1:])
 	})
 }
 
--- a/replay/events.go
+++ b/replay/events.go
@@ -17,6 +17,7 @@
 // they were added, so that a replay does not depend on the heap's layout.
 type agenda struct {
 	events   []event
+	soon     []func() // due now, after what the heap holds for now
 	sequence uint64
 	now      draws.Micros
 }
@@ -45,17 +46,32 @@
 	return e
 }
 
-// after adds an event.
+// after adds an event. Events without delay are half of all, so they go around
+// the heap.
 func (a *agenda) after(delay draws.Micros, run func()) {
+	if delay <= 0 {
+		a.soon = append(a.soon, run)
+		return
+	}
 	a.sequence++
-	heap.Push(a, event{a.now + max(delay, 0), a.sequence, run})
+	heap.Push(a, event{a.now + delay, a.sequence, run})
 }
 
 // runUntil runs the events up to a point in time.
 func (a *agenda) runUntil(end draws.Micros) {
-	for len(a.events) > 0 && a.events[0].at <= end {
-		e := heap.Pop(a).(event)
-		a.now = e.at
-		e.run()
+	for {
+		// All events of the heap for now were added before those that are due at once.
+		for len(a.events) > 0 && a.events[0].at == a.now {
+			heap.Pop(a).(event).run()
+		}
+		for i := 0; i < len(a.soon); i++ {
+			a.soon[i]()
+			a.soon[i] = nil
+		}
+		a.soon = a.soon[:0]
+		if len(a.events) == 0 || a.events[0].at > end {
+			return
+		}
+		a.now = a.events[0].at
 	}
 }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -69,9 +69,7 @@
 		client:    draws.OfFloat(delays.ClientMillis),
 	}
 	w.build(policy)
-	for i := range requests {
-		w.schedule(&requests[i])
-	}
+	w.arrivals(requests)
 	// Requests that arrive last get the time to their deadline.
 	end := draws.Of(file.Header.Until)
 	for i := range requests {
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,131 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/draws"
+	"github.com/gypsumrail/gypsumrail/tally"
+	"github.com/gypsumrail/gypsumrail/trace"
+)
+
+// steady returns a tally with 100 requests a second for 30 s, of which the ones
+// that arrive in [10 s, back) fail, but for one good second from lucky on.
+func steady(lucky, back draws.Micros) (*trace.File, *tally.Tally, []bool) {
+	class := &gypsumrail.Class{Name: "c", Importance: 1}
+	phase := &trace.Phase{Deadline: 1000}
+	var requests []draws.Request
+	for i := range 3000 {
+		requests = append(requests, draws.Request{
+			Index: i, Tree: &draws.Tree{Class: class}, Phase: phase, At: draws.Micros(i) * 10_000,
+		})
+	}
+	t := tally.New(requests)
+	answerable := make([]bool, len(requests))
+	for i := range requests {
+		answerable[i] = true
+		if at := requests[i].At; at < 10*second || at >= back || at >= lucky && at < lucky+second {
+			t.Answered(&requests[i], at)
+		}
+	}
+	file := &trace.File{Header: trace.Header{Name: "t", Until: 30_000, Trigger: trace.Span{From: 10_000, Until: 12_000}}}
+	return file, t, answerable
+}
+
+// Guards against a recovery time that ends before goodput is back, or counts
+// from the wrong time, and against a run without recovery that passes.
+func TestRecovery(t *testing.T) {
+	tests := []struct {
+		lucky     draws.Micros
+		back      draws.Micros
+		want      gypsumrail.Millis
+		recovered bool
+	}{
+		{0, 12 * second, 0, true},
+		{0, 15 * second, 2900, true}, // in steps of 100 ms; 95 % of a second or of five is good
+		{12 * second, 15 * second, 2900, true},
+		{0, 30 * second, 17_100, false},
+	}
+	for _, test := range tests {
+		file, counts, answerable := steady(test.lucky, test.back)
+		r := NewResult(file, 1, "full", counts, answerable)
+		// The mean over five seconds reaches 95 % up to 250 ms early.
+		if r.Recovered != test.recovered || r.Recovery < test.want-200 || r.Recovery > test.want+100 {
+			t.Errorf("recovery is %d (%t), want about %d (%t)", r.Recovery, r.Recovered, test.want, test.recovered)
+		}
+	}
+}
+
+// Guards against a missed outcome that is not reported, or without its amount
+// and time, and against a bound that is applied to another policy.
+func TestCheck(t *testing.T) {
+	half, nothing := 0.5, 0.0
+	outcomes := []trace.Outcome{
+		{Measure: trace.WeightedShare, Policy: "full", AtLeast: &half},
+		{Measure: trace.WeightedShare, Policy: "none", AtLeast: &half},
+		{Measure: trace.Recovery, AtMost: &half},
+		{Measure: trace.RunAfterNotRun, AtMost: &nothing},
+	}
+	r := &Result{
+		Trace: "t", Policy: "full", Seed: 1, Share: 0.25, Recovery: 0, Recovered: true, NotRunRan: 0,
+		at: map[trace.Measure]gypsumrail.Millis{trace.WeightedShare: 7000},
+	}
+	want := "t: outcome WeightedShare of policy full (seed 1) is 0.25, stated 0.5, missed by 0.25, worst at 7.0 s"
+	misses := Check(outcomes, r)
+	if len(misses) != 1 || misses[0].String() != want {
+		t.Errorf("misses are %v, want [%s]", misses, want)
+	}
+	r.Share, r.NotRunRan, r.Recovered = 0.5, 1, false
+	var measures []trace.Measure
+	for _, m := range Check(outcomes, r) {
+		measures = append(measures, m.Measure)
+	}
+	if diff := cmp.Diff([]trace.Measure{trace.Recovery, trace.RunAfterNotRun}, measures); diff != "" {
+		t.Errorf("missed measures (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a list of known misses that excuses more than it names.
+func TestKnown(t *testing.T) {
+	known, err := ReadKnown(strings.NewReader("# Known\n\noutcome t WeightedShare: seen 0.25\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []Miss{{Trace: "t", Measure: trace.Recovery}, {Trace: "u", Measure: trace.WeightedShare}} {
+		if known.Has(m) {
+			t.Errorf("%s of %s is excused", m.Measure, m.Trace)
+		}
+	}
+	if !known.Has(Miss{Trace: "t", Measure: trace.WeightedShare}) {
+		t.Error("the listed miss is not excused")
+	}
+	if _, err := ReadKnown(strings.NewReader("outcome t")); err == nil {
+		t.Error("an entry without a measure is accepted")
+	}
+}
+
+// Guards against tables that do not fit the terminals of operators.
+func TestTableWidth(t *testing.T) {
+	file, counts, answerable := steady(0, 15*second)
+	for _, seeds := range []int{1, 3} {
+		g := &Group{File: file}
+		for i := range 8 {
+			var row []*Result
+			for s := range seeds {
+				row = append(row, NewResult(file, uint64(s), fmt.Sprint("full-part", i), counts, answerable))
+			}
+			g.Rows = append(g.Rows, row)
+		}
+		var text strings.Builder
+		WriteTables(&text, g)
+		for line := range strings.Lines(text.String()) {
+			if n := len([]rune(strings.TrimSuffix(line, "\n"))); n > 120 {
+				t.Errorf("%d columns with %d seeds: %s", n, seeds, line)
+			}
+		}
+	}
+}
--- a/report/table.go
+++ b/report/table.go
@@ -137,7 +137,7 @@
 		}
 	}
 	for i, c := range g.Rows[0][0].Classes {
-		fmt.Fprintf(w, "  %-24s%4d%8d%8d |", c.Name, c.Importance, c.Offered, c.Oracle)
+		fmt.Fprintf(w, "  %-24.24s%4d%8d%8d |", c.Name, c.Importance, c.Offered, c.Oracle)
 		for _, row := range g.Rows {
 			good := spreadOf(row, func(r *Result) float64 { return percent(float64(r.Classes[i].Good), float64(r.Classes[i].Oracle)) })
 			fmt.Fprintf(w, "%7.1f", good.mean)
