--- a/core/config.go
+++ b/core/config.go
@@ -15,7 +15,6 @@
 	if target := n.records.Targets[n.self.Name]; target != nil {
 		n.parts.Limiter.SetCeiling(target.Slots)
 	}
-	n.generation = 0
 	n.setUpstreams()
 }
 
@@ -47,14 +46,23 @@
 	return true
 }
 
+// upstreamsEvery limits how often the router gets the directory's changes. A list
+// of the target size takes a millisecond to build, and a node that starts hears
+// of many changes in a row.
+const upstreamsEvery = gypsumrail.Second / 10
+
 // refreshUpstreams gives the router the directory's changes.
 func (n *Node) refreshUpstreams() {
-	if generation := n.parts.Directory.Generation(); generation != n.generation {
+	if n.now-n.clocks.upstreams < upstreamsEvery {
+		return
+	}
+	if n.parts.Directory.Generation() != n.generation {
 		n.setUpstreams()
 	}
 }
 
 func (n *Node) setUpstreams() {
+	n.clocks.upstreams = n.now
 	n.generation = n.parts.Directory.Generation()
 	n.self = n.parts.Directory.Self()
 	for _, name := range n.serviceNames() {
--- a/core/core.go
+++ b/core/core.go
@@ -97,7 +97,7 @@
 		epochs:   make(map[string]epoch),
 		tickets:  make(map[gypsumrail.CallID]ticket),
 		callers:  make(map[string]gypsumrail.Millis),
-		clocks:   clocks{tick: noTick},
+		clocks:   clocks{tick: noTick, upstreams: -upstreamsEvery},
 	}
 }
 
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -4,10 +4,11 @@
 
 // clocks holds the times of what the tick drives.
 type clocks struct {
-	tick    gypsumrail.Millis
-	observe gypsumrail.Millis
-	gossip  gypsumrail.Millis
-	expire  gypsumrail.Millis
+	tick      gypsumrail.Millis
+	observe   gypsumrail.Millis
+	gossip    gypsumrail.Millis
+	expire    gypsumrail.Millis
+	upstreams gypsumrail.Millis
 }
 
 const (
