Add the router and two baselines

Decisions: - Reported calls are counted without the own ones, which the sender knows better. They lose their weight over 1 s; a reported limit holds for 10 s. - A low report gains at most half of the mean load that the candidates report, so that one upstream with false reports draws less than its load would justify. - Candidates are drawn from the own zone and, only if its delay is above the zone delay, from the others. All draws hit unusable upstreams in the worst case; then the group is visited once in order. - A cold upstream has a smaller limit and is a candidate in only its share of the choices, because many senders without outstanding calls would all see it idle. - An upstream seen for the first time is cold if its incarnation says that it started lately. A new sender otherwise would take all but the first upstream that it hears of for cold. - The floor of ejection (more than half) applies to the service, and to the upstreams with the needed capabilities when nothing else is usable. - ReasonShed is given if every upstream that has the capabilities, is not leaving and is not excluded refuses the level. - An answer with a negative latency (a refusal) has no latency sample. - Upstreams that leave the list are kept while calls are outstanding, so that an upstream that comes back is not counted wrongly.

A test found that in a group of two usable upstreams of three, equal delays were decided 1:2 by the place of the unusable one; small groups are now drawn too. Each of these changes made a test fail: choosing leaving, incapable, suspect or refusing upstreams; thresholds that do not expire or refuse their own level; accepting standing sequences, reports of other instances or of earlier runs; counting silent failures; not resetting failures; ejecting more than half or without doubling, or counting old failures; a floor that outlasts the ejections; no zone delay; letting time go back; ReasonNoUpstream for ReasonShed; no last resort; repeated names; forgetting a later incarnation or Leaving; no cold share in the limit or in the draw; load, limit and latency that do not age; counting own calls twice; latency samples of refusals; no bound on the gain of a low report; one candidate instead of three; a candidate drawn twice; no visit after the draws; baselines that do not take turns or draw.

--- /dev/null
+++ b/route/eject.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"math"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+const (
+	failuresToEject = 5
+	ejectFirst      = gypsumrail.Second
+	ejectMax        = 30 * gypsumrail.Second
+)
+
+// fail counts a failure. At the fifth in a row the upstream is ejected; after
+// that each further failure ejects it again, for twice as long, until an answer
+// arrives. Failures while it is ejected are of calls sent before and do not count.
+func (u *upstream) fail(now gypsumrail.Millis) {
+	if u.ejected(now) {
+		return
+	}
+	u.failures = min(u.failures+1, failuresToEject)
+	if u.failures < failuresToEject {
+		return
+	}
+	span := min(ejectFirst<<u.ejections, ejectMax)
+	if span < ejectMax {
+		u.ejections++
+	}
+	u.ejectedUntil = now + span
+	u.service.recount = true
+}
+
+// ejects tells whether ejection applies: some upstream is ejected, but not more
+// than half of the service. If more than half fail, the fault is not with single
+// upstreams, and ejecting them would only load the rest. The count is kept until
+// an ejection starts or ends.
+func (s *service) ejects(now gypsumrail.Millis) bool {
+	if !s.recount && now < s.countUntil {
+		return s.ejecting
+	}
+	s.recount, s.countUntil = false, math.MaxInt64
+	all, out := 0, 0
+	for _, u := range s.upstreams {
+		if u.leaving {
+			continue
+		}
+		all++
+		if u.ejected(now) {
+			out++
+			s.countUntil = min(s.countUntil, u.ejectedUntil)
+		}
+	}
+	s.ejecting = out > 0 && 2*out <= all
+	return s.ejecting
+}
+
+// mostEjected applies the same rule to the upstreams that have the needed
+// capabilities. Choose uses it when nothing else is usable, so that a class
+// which few upstreams can serve is not cut off.
+func (s *service) mostEjected(q *query) bool {
+	all, out := 0, 0
+	for _, u := range s.upstreams {
+		if !u.capable(q) {
+			continue
+		}
+		all++
+		if u.ejected(q.now) {
+			out++
+		}
+	}
+	return 2*out > all
+}
--- /dev/null
+++ b/route/explain.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Explain tells for each upstream of a service, ordered by name, why it can or
+// cannot be chosen.
+func (r *Router) Explain(now gypsumrail.Millis, choice gypsumrail.Choice) []gypsumrail.Explained {
+	s, q, offered := r.query(now, &choice)
+	if s == nil {
+		return nil
+	}
+	if q.eject && s.mostEjected(&q) && !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable(&q) }) {
+		q.eject = false // as in Choose
+	}
+	out := make([]gypsumrail.Explained, 0, len(s.upstreams))
+	for _, u := range s.upstreams {
+		why, usable := u.why(&q, offered)
+		out = append(out, gypsumrail.Explained{
+			Instance: u.Instance.Name, Zone: u.Instance.Zone, Usable: usable, Why: why,
+			Outstanding: u.outstanding, Limit: u.limitAt(q.now), Expected: gypsumrail.Millis(math.Ceil(u.expected(q.now, 0))),
+		})
+	}
+	slices.SortFunc(out, func(a, b gypsumrail.Explained) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+func (u *upstream) why(q *query, offered bool) (string, bool) {
+	switch {
+	case u.leaving:
+		return "the instance is leaving", false
+	case !offered || !u.capable(q):
+		return "a needed capability is missing", false
+	case u.excluded(q):
+		return "it was already tried", false
+	case u.refuses(q):
+		return "its reported threshold is above the level", false
+	case u.ejected(q.now) && q.eject:
+		return "it is ejected after repeated failures", false
+	case u.ejected(q.now):
+		return "usable: it failed repeatedly, but so did most of the service", true
+	case u.suspect:
+		return "usable only if no other is: a peer did not reach it", true
+	case q.now < u.coldUntil:
+		return "usable with a reduced share: it is cold", true
+	}
+	return "usable", true
+}
