Bound the faults of one record set

1 MiB of empty records gives a million faults, several times the memory that a node may use. After 10,000 faults the rest is counted and stated in a last one; no set of a fleet has as many records.

--- a/record/fault.go
+++ b/record/fault.go
@@ -56,7 +56,7 @@
 }
 
 // Faults is the error that Parse returns: every fault of the set, ordered by
-// record. It is never empty.
+// record. It is never empty. Beyond 10,000 faults, the last one counts the rest.
 type Faults struct { //nolint:errname // see Fault
 	List []Fault
 }
--- a/record/parse.go
+++ b/record/parse.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -22,6 +23,10 @@
 // SizeMax is the largest accepted set in bytes. The platform holds values up to 1 MB.
 const SizeMax = 1 << 20
 
+// faultsMax bounds the memory that a set made of nothing but faults takes: 1 MiB
+// of empty records has a million of them. No set of a fleet has as many records.
+const faultsMax = 10_000
+
 // Options of Parse.
 type Options struct {
 	// SchemaMax is the highest schema version that the node knows, so that an
@@ -45,6 +50,7 @@
 	source    string
 	schemaMax int
 	faults    []Fault
+	unlisted  int // faults beyond faultsMax
 	records   *gypsumrail.Records
 	chosen    map[key]header // per name, the record whose schema version counts
 	broken    map[key]bool   // the record that counts has a faulty field
@@ -72,6 +78,10 @@
 	p.parse(data)
 	if len(p.faults) > 0 {
 		sortFaults(p.faults)
+		if p.unlisted > 0 {
+			p.faults = append(p.faults, Fault{Source: source, Index: -1, Reason: ReasonSize,
+				Detail: fmt.Sprintf("%d more faults are not listed", p.unlisted)})
+		}
 		return nil, &Faults{List: p.faults}
 	}
 	return p.records, nil
@@ -192,7 +202,7 @@
 	for _, duplicate := range duplicates {
 		p.fault(h, duplicate, problemf(ReasonDuplicate, "the field stands twice"))
 	}
-	before := len(p.faults)
+	before := len(p.faults) + p.unlisted
 	for _, required := range headerNames {
 		if find(list, required) == nil {
 			p.fault(h, required, problemf(ReasonMissing, "the field is required"))
@@ -212,7 +222,7 @@
 				kindService, kindTarget, kindClass, kindTenant))
 		}
 	}
-	return h, len(p.faults) == before
+	return h, len(p.faults)+p.unlisted == before
 }
 
 func (p *parser) readRecord(h header, counts bool) {
@@ -253,6 +263,10 @@
 	if bad == nil {
 		return
 	}
+	if len(p.faults) == faultsMax {
+		p.unlisted++
+		return
+	}
 	p.faults = append(p.faults, Fault{
 		Source: p.source, Index: h.index, Kind: h.key.kind, Name: h.key.name, Schema: h.schema,
 		Field: field, Reason: bad.reason, Detail: bad.detail,
--- a/record/parse_test.go
+++ b/record/parse_test.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// Guards against a set made of faults that takes all memory of a node.
+func TestFaultsBounded(t *testing.T) {
+	data := `{"Revision": 1, "Records": [{}` + strings.Repeat(",{}", 30_000) + `]}`
+	_, err := record.Parse("set.json", []byte(data), record.Options{})
+	var faults *record.Faults
+	if !errors.As(err, &faults) || len(faults.List) != 10_001 {
+		t.Fatal("want 10,000 faults and one that counts the rest")
+	}
+	if diff := cmp.Diff("80003 more faults are not listed", faults.List[10_000].Detail); diff != "" {
+		t.Errorf("last fault (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against old and new nodes that treat one set differently while a fleet
 // is upgraded: version 2 may add to what version 1 says and change nothing else.
 func TestSchemaVersionsSideBySide(t *testing.T) {
