Let directories that read different lists converge

A peer's entry without an incarnation was ignored whenever its address differed, so an instance that no list names any more kept different addresses on nodes that had read different lists, until it was forgotten. Found by the property test, which now publishes lists that nodes read at different times or pass over. The own list overrules such an entry only while it names the instance, and a leaving mark is always taken. A list that states no address or zone leaves what is known.

--- a/member/directory_test.go
+++ b/member/directory_test.go
@@ -75,6 +75,7 @@
 			{"List", instance("x", unknown, state(gypsumrail.Leaving))}}, instance("x", later)},
 		{"a later list moves an instance", []step{{"List", instance("x", unknown, address("q:1"))}, {"List", instance("x", unknown, address("p:1"))},
 			{"Peer", instance("x", unknown, address("q:1"))}}, instance("x", unknown, address("p:1"))},
+		{"list with a later run and no address", []step{{"Peer", instance("x")}, {"List", instance("x", later, address(""))}}, instance("x", later)},
 		{"direct leaving without other fields", []step{{"Peer", instance("x", version(4))},
 			{"Direct", gypsumrail.Instance{Name: "x", Incarnation: epoch(0), State: gypsumrail.Leaving}}}, instance("x", version(4), state(gypsumrail.Leaving))},
 		{"direct version far below an absurd one", []step{{"Peer", instance("x", version(1<<32))}, {"Direct", instance("x")}}, instance("x")},
--- a/member/gossip_test.go
+++ b/member/gossip_test.go
@@ -35,10 +35,12 @@
 	own         []gypsumrail.Instance // what each instance last said of itself
 	left        map[run]bool
 	wire        []message
+	lists       [][]gypsumrail.Instance // revisions of the platform's list
+	read        []int                   // per directory, the number of revisions that are read or passed over
 }
 
 func (w *world) names() []string {
-	names := []string{"other-0", "other-1", "other-2"}
+	names := []string{"other-0", "other-1", "other-2", "listed"}
 	for _, own := range w.own {
 		names = append(names, own.Name)
 	}
@@ -99,6 +101,7 @@
 		for i := range n {
 			w.own = append(w.own, instance(fmt.Sprintf("node-%d", i)))
 			w.directories = append(w.directories, member.New(w.own[i], member.Settings{}))
+			w.read = append(w.read, 0)
 		}
 		index := rapid.IntRange(0, n-1)
 		// Conflicting entries of instances without a directory. All fields are
@@ -138,9 +141,22 @@
 				from := index.Draw(t, "from")
 				w.directories[index.Draw(t, "node")].Observe(w.now, w.directories[from].Self())
 			},
-			"list": func(t *rapid.T) {
-				list := []gypsumrail.Instance{other.Draw(t, "listed")}
-				w.directories[index.Draw(t, "node")].MergeList(w.now, list)
+			"publish": func(t *rapid.T) {
+				// The platform knows incarnations of some instances only.
+				listed := other.Draw(t, "listed")
+				if rapid.Bool().Draw(t, "without incarnation") {
+					listed.Name = rapid.SampledFrom([]string{"other-0", "listed"}).Draw(t, "name")
+					listed.Incarnation, listed.Version = 0, 0
+				}
+				w.lists = append(w.lists, []gypsumrail.Instance{listed})
+			},
+			"read": func(t *rapid.T) {
+				i := index.Draw(t, "node")
+				if w.read[i] < len(w.lists) {
+					next := rapid.IntRange(w.read[i], len(w.lists)-1).Draw(t, "revision")
+					w.directories[i].MergeList(w.now, w.lists[next])
+					w.read[i] = next + 1
+				}
 			},
 			"send": func(t *rapid.T) {
 				from := w.directories[index.Draw(t, "from")]
@@ -166,6 +182,11 @@
 				w.check(t)
 			},
 		})
+		for i, d := range w.directories {
+			if w.read[i] < len(w.lists) {
+				d.MergeList(w.now, w.lists[len(w.lists)-1])
+			}
+		}
 		// Two passes carry all news to all; one more carries the refutations.
 		for range 3 {
 			for a := range n {
--- a/member/list.go
+++ b/member/list.go
@@ -23,6 +23,9 @@
 			continue
 		}
 		known := d.entries[listed.Name]
+		if known != nil {
+			fill(&listed, &known.Instance)
+		}
 		switch {
 		case known == nil:
 			full = full || !d.hasRoom(true)
--- a/member/merge.go
+++ b/member/merge.go
@@ -52,17 +52,23 @@
 		if known == nil && (d.isBuried(offered) || !d.hasRoom(false)) {
 			continue
 		}
-		if known == nil || compare(offered, &known.Instance) > 0 && !relisted(offered, &known.Instance) {
-			d.spread(d.put(*offered))
-			changed = true
+		if known != nil {
+			older := known.listed && relisted(offered, &known.Instance) && offered.State != gypsumrail.Leaving
+			if older || compare(offered, &known.Instance) <= 0 {
+				continue
+			}
 		}
+		d.spread(d.put(*offered))
+		changed = true
 	}
 	return changed
 }
 
 // relisted tells whether two entries come from different lists. An entry without
 // an incarnation comes from the platform's list, which each node reads itself,
-// so a peer's older list must not bring back an address that has changed.
+// so while the own list names the instance, a peer's older list must not bring
+// back an address that has changed. Only a leaving mark is taken from it,
+// because a mark cannot be undone anywhere.
 func relisted(a, b *gypsumrail.Instance) bool {
 	return a.Incarnation == 0 && b.Incarnation == 0 &&
 		(a.Address != b.Address || a.Zone != b.Zone || a.Service != b.Service)
@@ -138,7 +144,7 @@
 	return true
 }
 
-// fill completes what an instance told of itself from what is known. The
+// fill completes what an instance or the list told from what is known. The
 // version is that of the known entry only within one incarnation.
 func fill(direct, known *gypsumrail.Instance) {
 	direct.Service = cmp.Or(direct.Service, known.Service)
