Measure recovery by arrival and let clients be patient or hard

Counting answers by the time at which they arrive let a backlog hide that new requests still failed. Requests now count at their own arrival and as a share of the offered load. Soft clients retry until their deadline, as people with a half-loaded page do; hard clients state no remaining time, so that the work for tries that they gave up goes on.

--- a/replay/clients.go
+++ b/replay/clients.go
@@ -59,9 +59,13 @@
 	})
 }
 
-// left returns the time that the client waits, less the way of the answer,
-// which a client knows from earlier answers.
+// left returns the time that the client says it waits, less the way of the
+// answer, which a client knows from earlier answers. Hard clients state nothing,
+// so their calls take the deadline of the class.
 func (t *try) left() gypsumrail.Millis {
+	if t.user.request.Phase.Hard {
+		return 0
+	}
 	w := t.user.world
 	left := t.user.request.Deadline() - w.now - w.client
 	if timeout := t.user.request.Phase.Timeout; timeout > 0 {
--- a/report/result.go
+++ b/report/result.go
@@ -144,6 +144,9 @@
 }
 
 // addRecovery finds the first second after the trigger whose goodput is back.
+// Requests count at their arrival and as a share of those that arrived, so that
+// answers to a backlog do not hide that new requests still fail, and chance in
+// the arrivals does not count as a loss.
 func (r *Result) addRecovery(file *trace.File, t *tally.Tally) {
 	r.Recovery = -1
 	trigger := file.Header.Trigger
@@ -151,26 +154,28 @@
 		return
 	}
 	end := draws.Of(file.Header.Until)
-	good := make([]int, end/recoveryStep+1)
+	good, offered := make([]int, end/recoveryStep+1), make([]int, end/recoveryStep+1)
 	for i := range t.Users {
-		if u := &t.Users[i]; u.Good && u.GoodAt < end {
-			good[u.GoodAt/recoveryStep]++
+		step := t.Requests[i].At / recoveryStep
+		offered[step]++
+		if t.Users[i].Good {
+			good[step]++
 		}
 	}
-	rate := func(from, span draws.Micros) float64 {
-		span = min(span, end-from)
-		sum := 0
-		for _, count := range good[from/recoveryStep : (from+span)/recoveryStep] {
-			sum += count
+	share := func(from, span draws.Micros) float64 {
+		until := min(from+span, end)
+		sum, all := 0, 0
+		for step := from / recoveryStep; step < until/recoveryStep; step++ {
+			sum += good[step]
+			all += offered[step]
 		}
-		return float64(sum) / float64(max(span, recoveryStep)) * float64(second)
+		return float64(sum) / float64(max(all, 1))
 	}
-	from := draws.Of(trigger.From)
-	before := rate(max(0, from-beforeSpan), min(from, beforeSpan)) * recoveryShare
-	over := draws.Of(trigger.Until)
+	from, over := draws.Of(trigger.From), draws.Of(trigger.Until)
+	before := share(max(0, from-beforeSpan), min(from, beforeSpan)) * recoveryShare
 	at := over
 	for ; at+second <= end; at += recoveryStep {
-		if rate(at, second) >= before && rate(at, recoveryHold) >= before {
+		if share(at, second) >= before && share(at, recoveryHold) >= before {
 			r.Recovered = true
 			break
 		}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -96,7 +96,7 @@
 	Timeout  gypsumrail.Millis `json:",omitempty"` // of one try; 0 takes the time left to the deadline
 	Retries  int               `json:",omitempty"` // tries after the first
 	Backoff  gypsumrail.Millis `json:",omitempty"` // before the second try; doubles with each, plus or minus half at random
-	Hard     bool              `json:",omitempty"` // resends at once, ignores Retry-After and does not close the try before
+	Hard     bool              `json:",omitempty"` // resends at once, ignores Retry-After, states no remaining time and keeps the try before open
 }
 
 // Calls states which services a service calls while it serves a class: the
