--- a/replay/policy.go
+++ b/replay/policy.go
@@ -4,6 +4,7 @@
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/ledger"
+	"github.com/gypsumrail/gypsumrail/member"
 	"github.com/gypsumrail/gypsumrail/plain"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/retry"
@@ -58,7 +59,7 @@
 		Router:    plain.NewRobin(index, services),
 		Budget:    plain.Unlimited{},
 		Ledger:    ledger.New(self, ledger.Settings{}),
-		Directory: &fixed{self: self},
+		Directory: member.New(self, member.Settings{}),
 		Values:    once{},
 	}
 	if p.unbounded {
--- a/report/known.go
+++ b/report/known.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/gypsumrail/gypsumrail/trace"
 )
 
-// Known is the outcomes that are known not to be met, by trace and measure.
+// Known is the outcomes that are known not to be met, by trace and measure. The
+// value tells whether the miss was seen.
 type Known map[string]bool
 
 // knownPrefix starts the lines of KNOWN-RED.txt that name an outcome; the other
@@ -30,7 +32,7 @@
 		if len(fields) < 2 {
 			return nil, fmt.Errorf("line %d: want 'outcome TRACE MEASURE'", line)
 		}
-		known[knownKey(fields[0], trace.Measure(strings.TrimSuffix(fields[1], ":")))] = true
+		known[knownKey(fields[0], trace.Measure(strings.TrimSuffix(fields[1], ":")))] = false
 	}
 	if err := scanner.Err(); err != nil {
 		return nil, fmt.Errorf("known misses: %w", err)
@@ -38,7 +40,26 @@
 	return known, nil
 }
 
-// Has tells whether a miss is listed.
-func (k Known) Has(m Miss) bool { return k[knownKey(m.Trace, m.Measure)] }
+// Has tells whether a miss is listed, and notes that it was seen.
+func (k Known) Has(m Miss) bool {
+	key := knownKey(m.Trace, m.Measure)
+	_, ok := k[key]
+	if ok {
+		k[key] = true
+	}
+	return ok
+}
+
+// Unseen returns the listed outcomes of a trace that were not missed, in order.
+func (k Known) Unseen(name string) []string {
+	var unseen []string
+	for key, seen := range k {
+		if measure, ok := strings.CutPrefix(key, name+" "); ok && !seen {
+			unseen = append(unseen, measure)
+		}
+	}
+	slices.Sort(unseen)
+	return unseen
+}
 
 func knownKey(name string, measure trace.Measure) string { return name + " " + string(measure) }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -100,9 +100,15 @@
 			t.Errorf("%s of %s is excused", m.Measure, m.Trace)
 		}
 	}
+	if diff := cmp.Diff([]string{"WeightedShare"}, known.Unseen("t")); diff != "" {
+		t.Errorf("unseen before the miss (-want +got):\n%s", diff)
+	}
 	if !known.Has(Miss{Trace: "t", Measure: trace.WeightedShare}) {
 		t.Error("the listed miss is not excused")
 	}
+	if unseen := known.Unseen("t"); len(unseen) != 0 {
+		t.Errorf("unseen after the miss: %v", unseen)
+	}
 	if _, err := ReadKnown(strings.NewReader("outcome t")); err == nil {
 		t.Error("an entry without a measure is accepted")
 	}
--- a/verbs/replay.go
+++ b/verbs/replay.go
@@ -125,6 +125,11 @@
 			}
 		}
 	}
+	if !a.JSON {
+		for _, measure := range known.Unseen(file.Header.Name) {
+			fmt.Fprintf(out, "  met    %s: outcome %s is listed as known to be missed\n", file.Header.Name, measure)
+		}
+	}
 	return failed
 }
 
