Add the numbered log events (notice)

The shell's numbers are literals: importing package shell would tie a log to sockets.

InstanceJoined and InstanceLeaving have constants but the reducer does not emit them; the catalogue says so.

--- /dev/null
+++ b/notice/table.go
@@ -0,0 +1,99 @@
+package notice
+
+import (
+	"slices"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Entry describes one log event.
+type Entry struct {
+	Number  gypsumrail.Notice
+	Name    string // of the constant, without the prefix Notice
+	Level   log.Level
+	Message string
+	When    string // when it happens
+	Action  string // what an operator can do
+}
+
+// Table returns all log events, ordered by number. The caller owns the result.
+func Table() []Entry { return slices.Clone(entries) }
+
+// Lookup returns the entry of a number. It is safe for concurrent use.
+func Lookup(number gypsumrail.Notice) (Entry, bool) {
+	i, ok := slices.BinarySearchFunc(entries, number, func(e Entry, n gypsumrail.Notice) int { return int(e.Number - n) })
+	if !ok {
+		return Entry{}, false
+	}
+	return entries[i], true
+}
+
+// entries is ordered by number. The numbers of the shell are literals, because
+// the shell's package depends on sockets that a log does not need.
+var entries = []Entry{
+	{gypsumrail.NoticeRevisionAdopted, "RevisionAdopted", log.InfoLevel, "revision adopted",
+		"a newer valid revision of the value in `Subject` is in force", "nothing"},
+	{gypsumrail.NoticeRevisionIgnored, "RevisionIgnored", log.WarnLevel, "revision ignored",
+		"a revision of the value in `Subject` is not newer than the one in force, or far ahead of it",
+		"publish with a higher revision; if the platform serves old revisions, look at the platform"},
+	{gypsumrail.NoticeDefaultsInUse, "DefaultsInUse", log.WarnLevel, "no records found, using built-in defaults",
+		"neither a peer nor the platform gave a revision of the records within 5 s of the start",
+		"check that the platform and the seed peers can be reached; the first revision that is found replaces the defaults"},
+	{gypsumrail.NoticeReaderStarted, "ReaderStarted", log.InfoLevel, "watching the platform for this zone",
+		"the instance became one of the three readers of its availability zone", "nothing"},
+	{gypsumrail.NoticeReaderStopped, "ReaderStopped", log.InfoLevel, "no longer watching the platform",
+		"other instances of the availability zone are its readers now", "nothing"},
+	{gypsumrail.NoticeInstanceJoined, "InstanceJoined", log.InfoLevel, "instance joined",
+		"the directory has a new instance; reserved, not written yet", "nothing"},
+	{gypsumrail.NoticeInstanceLeaving, "InstanceLeaving", log.InfoLevel, "instance is leaving",
+		"an instance announced that it leaves; reserved, not written yet", "nothing"},
+	{gypsumrail.NoticeInstanceSuspect, "InstanceSuspect", log.WarnLevel, "instance does not answer control messages",
+		"a control message to the instance in `Subject` got no answer",
+		"check the instance and the network to it; an instance that is well refutes the suspicion by itself"},
+	{gypsumrail.NoticeThresholdRaised, "ThresholdRaised", log.WarnLevel, "shedding started",
+		"the queue delay of the own target stays too long, so calls of low importance are refused",
+		"look at the target and at demand; add instances if this lasts"},
+	{gypsumrail.NoticeThresholdZero, "ThresholdZero", log.InfoLevel, "shedding ended",
+		"the threshold fell to zero and calls of every importance are admitted", "nothing"},
+	{gypsumrail.NoticeUpstreamSilent, "UpstreamSilent", log.WarnLevel, "connection to upstream is silent",
+		"a connection to the instance in `Subject` carried no data in time and was closed",
+		"check the network path if it repeats: firewalls and address translation drop idle connections"},
+	{gypsumrail.NoticePaused, "Paused", log.WarnLevel, "process was paused",
+		"more than 500 ms passed between two ticks of 10 ms",
+		"check for a frozen or overcommitted host; the node rechecked all that it held"},
+	{gypsumrail.NoticeDrainStarted, "DrainStarted", log.InfoLevel, "drain started",
+		"the node got SIGTERM; it announces that it leaves and refuses new calls", "nothing"},
+	{gypsumrail.NoticeDrainComplete, "DrainComplete", log.InfoLevel, "drain complete",
+		"the last call in flight ended, or 30 s passed", "nothing"},
+	{gypsumrail.NoticeUnknownAnswer, "UnknownAnswer", log.WarnLevel, "answer for an unknown call dropped",
+		"an answer arrived for a call or attempt that the node no longer holds",
+		"nothing if it is rare; report it as a fault if it repeats without resends, cancellations or pauses"},
+	{gypsumrail.NoticeLedgerFull, "LedgerFull", log.ErrorLevel, "ledger is full",
+		"the ledger holds as many keys as it may, so keyed calls are refused as not run",
+		"spread the load over more instances; keys expire after about 11 minutes"},
+	{2001, "NodeStarted", log.InfoLevel, "node started", "the ports are open", "nothing"},
+	{2002, "NodeStopped", log.InfoLevel, "node stopped", "the ports are closed", "nothing"},
+	{2003, "LinesDropped", log.WarnLevel, "log events dropped",
+		"writing the log was slower than the events came", "look for the event that repeats, and at what reads the log"},
+	{2101, "RecordsRejected", log.ErrorLevel, "records rejected",
+		"a revision of the records has a fault; the one in force stays",
+		"correct the record that `Detail` names, check the set with `gypsumrail check` and publish again"},
+	{2102, "InstancesRejected", log.ErrorLevel, "list of instances rejected",
+		"a list of instances has a fault; the one in force stays", "correct the entry that `Detail` names and publish again"},
+	{2103, "PlatformAway", log.WarnLevel, "platform cannot be read",
+		"a read of the value in `Subject` failed; written once until it works again",
+		"check the platform; the node continues with what is in force"},
+	{2104, "PlatformBack", log.InfoLevel, "platform can be read again", "a read worked after failed ones", "nothing"},
+	{2105, "PullFailed", log.WarnLevel, "value could not be fetched from a peer",
+		"the peer in `Subject` announced a revision and did not hand it over",
+		"nothing if it is rare; another peer or the platform will be asked"},
+	{2201, "ServerFault", log.WarnLevel, "fault of a listener",
+		"the HTTP server reports the fault in `Detail`, such as a malformed request", "look for the client that `Detail` names"},
+	{2202, "ForeignAnswer", log.ErrorLevel, "answer does not belong to its attempt",
+		"a peer's answer has another attempt's identity or malformed headers; its connection was closed",
+		"look for a proxy between the nodes that reorders or changes answers"},
+	{2301, "SecondSignal", log.WarnLevel, "second signal, exiting at once",
+		"a second SIGTERM or SIGINT arrived during a drain; calls in flight were cut off", "nothing"},
+}
