--- /dev/null
+++ b/shed/none.go
@@ -0,0 +1,28 @@
+package shed
+
+import "github.com/gypsumrail/gypsumrail"
+
+// None never refuses. It is the baseline that Threshold is compared with. It
+// implements gypsumrail.Shedder and is safe for concurrent use.
+type None struct{}
+
+// Threshold returns 0.
+func (None) Threshold() gypsumrail.Level { return 0 }
+
+// Observe does nothing.
+func (None) Observe(gypsumrail.Millis, gypsumrail.Load) {}
+
+// Offered does nothing.
+func (None) Offered(gypsumrail.Millis, gypsumrail.Level, bool) {}
+
+// Learn does nothing.
+func (None) Learn(gypsumrail.Millis, string, string, gypsumrail.Level) {}
+
+// LearnHint does nothing.
+func (None) LearnHint(gypsumrail.Millis, gypsumrail.Hint) {}
+
+// Refuses returns false.
+func (None) Refuses(gypsumrail.Millis, gypsumrail.Level, []string) (string, bool) { return "", false }
+
+// Hints returns dst.
+func (None) Hints(_ gypsumrail.Millis, _ int, dst []gypsumrail.Hint) []gypsumrail.Hint { return dst }
