Add the metrics of a node (meter)

A set per node, so that several nodes in one process do not mix. Labels take names of the records in force only; unknown names, and outcomes or reasons of newer nodes, count under "other". Bounds: 64 services, 64 classes, 128 tenants and 2,000 series with names, beyond which calls count under "other" for all names. A new revision removes the series of names that it no longer has.

The reducer's figures are copied once a second by a reducer that wraps it (Watch), between two steps. Reading them at a scrape was ruled out: it would need the mutex that serializes the steps. Queue delay comes from a queue that wraps the node's queue; calls that start without waiting are not in it.

Limits of what is measured: the time of the control part is the wall time of the steps of control events, not processor time, and control bytes are the bodies of exchanges. Pulls, watches and HTTP headers are not counted, because the shell has no hook for them.

The tests were seen to fail with the names of classes, tenants or reasons taken unchecked, without the bound on series, with series of old names kept, with a reason left out of the list, and with the adoption time or the queue delay lost.

--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,175 @@
+package meter
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/queue"
+)
+
+func numbered[T any](prefix string, n int) map[string]*T {
+	all := make(map[string]*T, n)
+	for i := range n {
+		all[fmt.Sprintf("%s-%04d", prefix, i)] = new(T)
+	}
+	return all
+}
+
+// series returns the series that have labels of names, from a scrape.
+func series(m *Meter) []string {
+	scrape := httptest.NewRecorder()
+	m.ServeHTTP(scrape, nil)
+	var found []string
+	for line := range strings.Lines(scrape.Body.String()) {
+		if strings.HasPrefix(line, "gypsumrail_") {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
+func (m *Meter) size() int { return len(m.counters) + len(m.times) }
+
+// Guards against callers and peers that fill the memory of a node, and its
+// scrapes, with names of their own choice.
+func TestFlood(t *testing.T) {
+	m := New()
+	m.SetRecords(&gypsumrail.Records{
+		Services: numbered[gypsumrail.Service]("s", 1), Classes: numbered[gypsumrail.Class]("c", 1), Tenants: numbered[gypsumrail.Tenant]("t", 1),
+	})
+	known := End{Origin: gypsumrail.FromCaller, Service: "s-0000", Class: "c-0000", Tenant: "t-0000", Outcome: gypsumrail.Ran}
+	m.Ended(known)
+	before := m.size()
+	for i := range 10_000 {
+		n := strconv.Itoa(i)
+		m.Ended(End{
+			Origin: gypsumrail.FromCaller, Service: "s" + n, Class: "c" + n, Tenant: "t" + n,
+			Outcome: gypsumrail.Outcome("o" + n), Reason: gypsumrail.Reason("r" + n),
+		})
+		m.Ended(End{Origin: gypsumrail.FromCaller, Service: "s" + n, Class: "c" + n, Tenant: "t" + n, Outcome: gypsumrail.Ran})
+	}
+	// Two counters, one latency of classes and one of tenants under "other".
+	if got := m.size(); got != before+4 {
+		t.Errorf("%d series after the flood, %d before", got, before)
+	}
+	m.Ended(known)
+	want := `gypsumrail_calls_total{origin="Caller",service="s-0000",class="c-0000",outcome="Ran",reason=""} 2`
+	if all := series(m); !slices.Contains(all, want) {
+		t.Errorf("the known call is not counted as %s:\n%s", want, strings.Join(all, "\n"))
+	}
+}
+
+// Guards against records so large, or changed so often, that their names fill
+// the memory.
+func TestBounds(t *testing.T) {
+	m := New()
+	large := &gypsumrail.Records{
+		Services: numbered[gypsumrail.Service]("s", 100), Classes: numbered[gypsumrail.Class]("c", 100), Tenants: numbered[gypsumrail.Tenant]("t", 1000),
+	}
+	m.SetRecords(large)
+	for service := range large.Services {
+		for class := range large.Classes {
+			m.Ended(End{Origin: gypsumrail.FromPeer, Service: service, Class: class, Outcome: gypsumrail.Ran})
+		}
+	}
+	for tenant := range large.Tenants {
+		m.Ended(End{Origin: gypsumrail.FromCaller, Tenant: tenant, Outcome: gypsumrail.Ran})
+	}
+	if got, most := m.size(), seriesMax+4; got < seriesMax || got > most {
+		t.Errorf("%d series, want %d to %d", got, seriesMax, most)
+	}
+	for revision := range 100 {
+		name := fmt.Sprintf("of-revision-%d", revision)
+		m.SetRecords(&gypsumrail.Records{Services: map[string]*gypsumrail.Service{name: {}}})
+		m.Ended(End{Origin: gypsumrail.FromPeer, Service: name, Outcome: gypsumrail.Ran})
+	}
+	if all := strings.Join(series(m), "\n"); m.size() > 10 || strings.Contains(all, `="s-`) || !strings.Contains(all, "of-revision-99") {
+		t.Errorf("%d series after 100 revisions:\n%s", m.size(), all)
+	}
+}
+
+// Guards against a reason that was added to the program and counts as "other".
+func TestReasons(t *testing.T) {
+	declared := map[gypsumrail.Reason]bool{}
+	for _, file := range []string{"../names.go", "../wire/problem.go"} {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.SkipObjectResolution)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			spec, ok := n.(*ast.ValueSpec)
+			if ok && strings.HasPrefix(spec.Names[0].Name, "Reason") && spec.Type != nil {
+				text, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				declared[gypsumrail.Reason(text)] = true
+			}
+			return true
+		})
+	}
+	if diff := cmp.Diff(declared, reasons); diff != "" {
+		t.Errorf("the declared reasons (-) and those of the meter (+) differ:\n%s", diff)
+	}
+}
+
+type scripted struct{ effects []gypsumrail.Effect }
+
+func (s *scripted) Step(*gypsumrail.Event) []gypsumrail.Effect { return s.effects }
+func (s *scripted) Records() *gypsumrail.Records               { return nil }
+func (s *scripted) Status() core.Status {
+	return core.Status{
+		Values: []gypsumrail.ValueVersion{{Name: gypsumrail.ValueRecords, Revision: 7}},
+		Report: gypsumrail.Report{Limit: 12, InFlight: 3, Threshold: 512}, LedgerSize: 9,
+		Services: []core.ServiceStatus{{Name: "deep", Budget: 2.5, Upstreams: []gypsumrail.Explained{{Usable: true}, {}}}},
+		Counts:   core.Counts{Retries: 4, Exchanges: 5, SilentConns: 6, Pauses: 8},
+	}
+}
+
+// Guards against a figure that is lost between the reducer and the scrape.
+func TestFigures(t *testing.T) {
+	m := New()
+	node := m.Watch(&scripted{effects: []gypsumrail.Effect{
+		{Kind: gypsumrail.Adopt, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 7}},
+		{Kind: gypsumrail.Forward, Allowance: 2},
+		{Kind: gypsumrail.SendExchange, Exchange: &gypsumrail.Exchange{}},
+	}})
+	node.Step(&gypsumrail.Event{Kind: gypsumrail.Exchanged, At: 1000, Exchange: &gypsumrail.Exchange{}})
+	node.Node.(*scripted).effects = nil
+	node.Step(&gypsumrail.Event{Kind: gypsumrail.Tick, At: 3500})
+	m.Stepped(gypsumrail.Tick, gypsumrail.Millis(250).Duration())
+	m.Stepped(gypsumrail.CallArrived, gypsumrail.Second.Duration())
+	waiting := m.Queue(queue.NewFIFO(queue.Settings{}))
+	waiting.Push(100, gypsumrail.Waiting{Call: 1, Arrived: 100, Deadline: 1000})
+	waiting.Pop(350, 0)
+	all := series(m)
+	for _, want := range []string{
+		"gypsumrail_limit 12", "gypsumrail_in_flight 3", "gypsumrail_threshold 512", "gypsumrail_ledger_entries 9",
+		`gypsumrail_revision{value="Records"} 7`, `gypsumrail_revision_age_seconds{value="Records"} 2.5`,
+		`gypsumrail_retry_budget_left{service="deep"} 2.5`,
+		`gypsumrail_upstreams{service="deep",state="usable"} 1`, `gypsumrail_upstreams{service="deep",state="unusable"} 1`,
+		"gypsumrail_retries_total 4", "gypsumrail_exchanges_total 5", "gypsumrail_silent_connections_total 6", "gypsumrail_pauses_total 8",
+		`gypsumrail_step_seconds_total{part="control"} 0.25`, `gypsumrail_step_seconds_total{part="calls"} 1`,
+		"gypsumrail_queue_delay_seconds_sum 0.25", "gypsumrail_queue_delay_seconds_count 1", "gypsumrail_forwarded_allowance_sum 2",
+		// An empty exchange has 16 hashes of 8 bytes, their framing and an empty sender.
+		`gypsumrail_exchange_bytes_total{direction="sent"} 133`, `gypsumrail_exchange_bytes_total{direction="received"} 133`,
+	} {
+		if !slices.Contains(all, want) {
+			t.Errorf("no line %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(strings.Join(all, "\n"))
+	}
+}
