Add the verbs status and record

status reads the admin endpoint and prints what the node holds in force: its values, limit, queue, threshold, refusals by reason, and per service the retry budget and why each upstream is usable or not. Package admin holds the client and the form of a status, so that the node that serves it and the tools that read it share one definition. Text from the network is made printable before it reaches a terminal.

record writes a Node trace from the event stream, bounded by time, events and the size that a trace may have. The level of a request is a hash of its identity, so levels within one importance differ between the node and the replay.

A status does not tell the incarnations of other instances; a replay refuses the keyed calls whose home they are.

An unreachable node gives exit code 1, because the usage is right.

The tests were seen to fail with request identities or keys left as they are, without the salt, with the true length, without the initial events, without the bound on events, with control characters passed on, and with the answer of a server that is no node accepted.

--- /dev/null
+++ b/admin/table.go
@@ -0,0 +1,134 @@
+package admin
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Write writes the status as tables for a terminal.
+func (s *Status) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	n := &s.Node
+	row := func(title, format string, args ...any) {
+		fmt.Fprintf(w, "%s\t%s\n", plain(title), plain(fmt.Sprintf(format, args...)))
+	}
+	row("Node", "%s of service %s in zone %s, peers port %s", n.Self.Name, n.Self.Service, n.Self.Zone, n.Self.Address)
+	row("State", "%s", s.state())
+	for _, v := range n.Values {
+		row(string(v.Name), "revision %d (hash %016x)%s", v.Revision, v.Hash, s.schema(v.Name))
+	}
+	if len(n.Values) == 0 {
+		row("Records", "none%s", s.schema(gypsumrail.ValueRecords))
+	}
+	row("Directory", "%d instances", n.Instances)
+	row("Limit", "%d calls at once: %d run, %d free slots are for importance %d and above",
+		n.Report.Limit, n.Report.InFlight, n.Reserved, gypsumrail.ImportanceReserved)
+	row("Queue", "%d calls wait", n.Report.Queued)
+	row("Threshold", "%s", threshold(n.Report.Threshold))
+	row("Calls", "%d as sender, %d as receiver", n.Sends, n.Serves)
+	row("Ledger", "%d keys, epoch %d; %d answers kept", n.LedgerSize, n.Report.Epoch, s.Shell.Answers)
+	c := &n.Counts
+	row("Since start", "%d arrived, %d ran here, %d retries, %d resends joined, %d silent connections, %d pauses",
+		c.Arrived, c.Served, c.Retries, c.Joined, c.SilentConns, c.Pauses)
+	row("Refused", "%s", refusals(n.Refusals))
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return s.writeServices(out)
+}
+
+func (s *Status) state() string {
+	var words []string
+	switch {
+	case s.Node.Draining:
+		words = append(words, "draining")
+	case s.Shell.Ready:
+		words = append(words, "ready")
+	default:
+		words = append(words, "not ready")
+	}
+	if s.Node.Defaults {
+		words = append(words, "no records found, built-in defaults in use")
+	}
+	if s.Node.Reader {
+		words = append(words, "reads the platform for its zone")
+	}
+	return strings.Join(words, "; ")
+}
+
+func (s *Status) schema(name gypsumrail.ValueName) string {
+	if name != gypsumrail.ValueRecords || s.Node.SchemaMax == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", schema versions up to %d are known", s.Node.SchemaMax)
+}
+
+// threshold tells which calls are admitted. Within one importance the calls
+// with the higher hash are.
+func threshold(level gypsumrail.Level) string {
+	switch {
+	case level <= 0:
+		return "0, every call is admitted"
+	case level >= gypsumrail.LevelMax:
+		return fmt.Sprintf("%d, no call is admitted", level)
+	}
+	importance, hash := level/gypsumrail.LevelsPerImportance, level%gypsumrail.LevelsPerImportance
+	if hash == 0 {
+		return fmt.Sprintf("%d, calls of importance %d and above are admitted", level, importance)
+	}
+	share := float64(gypsumrail.LevelsPerImportance-hash) / gypsumrail.LevelsPerImportance
+	return fmt.Sprintf("%d, calls above importance %d and %.0f%% of those at it are admitted", level, importance, 100*share)
+}
+
+func refusals(counts map[gypsumrail.Reason]uint64) string {
+	if len(counts) == 0 {
+		return "none"
+	}
+	var words []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		words = append(words, fmt.Sprintf("%s %d", reason, counts[reason]))
+	}
+	return strings.Join(words, ", ")
+}
+
+func (s *Status) writeServices(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nService\tRetries left\tUpstream\tZone\tUsable\tOutstanding\tLimit\tExpected\tWhy")
+	for _, service := range s.Node.Services {
+		name, left := plain(service.Name), fmt.Sprintf("%.1f", service.Budget)
+		if len(service.Upstreams) == 0 {
+			fmt.Fprintf(w, "%s\t%s\tnone\n", name, left)
+		}
+		for _, u := range service.Upstreams {
+			usable := "no"
+			if u.Usable {
+				usable = "yes"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d ms\t%s\n",
+				name, left, plain(u.Instance), plain(u.Zone), usable, u.Outstanding, u.Limit, u.Expected, plain(u.Why))
+			name, left = "", ""
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return nil
+}
+
+// plain replaces what could control the operator's terminal: a status may hold
+// names that other nodes told.
+func plain(text string) string {
+	return strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return '?'
+		}
+		return r
+	}, text)
+}
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -28,6 +28,8 @@
 		{"check", "check record sets and report all faults", runCheck},
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
+		{"status", "show what a node holds in force and why", runStatus},
+		{"record", "record the events of a node as a trace", runRecord},
 		{"version", "print the version", runVersion},
 		{"help", "print this list", runHelp},
 	}
--- /dev/null
+++ b/verbs/record.go
@@ -0,0 +1,238 @@
+package verbs
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/admin"
+	"github.com/gypsumrail/gypsumrail/mask"
+	"github.com/gypsumrail/gypsumrail/record"
+	"github.com/gypsumrail/gypsumrail/trace"
+)
+
+// recordArgs are the arguments of record.
+type recordArgs struct {
+	Address   string `arg:"positional,env:GYPSUMRAIL_ADDRESS" placeholder:"ADDRESS" help:"IP address and port of the admin endpoint (required)"`
+	For       string `arg:"--for,env:GYPSUMRAIL_FOR" placeholder:"DURATION" help:"length of the recording, 1s to 10m [default: 10s]"`
+	MaxEvents string `arg:"--max-events,env:GYPSUMRAIL_MAX_EVENTS" placeholder:"N" help:"events after which the recording ends, 1 to 1000000 [default: 100000]"`
+	Out       string `arg:"--out,env:GYPSUMRAIL_OUT" placeholder:"FILE" help:"file for the trace [default: standard output]"`
+	Records   string `arg:"--records,env:GYPSUMRAIL_RECORDS" placeholder:"FILE" help:"record set in force, which the trace then begins with"`
+	Salt      string `arg:"--salt,env:GYPSUMRAIL_SALT" help:"secret that makes pseudonyms equal in several recordings [default: random]"`
+}
+
+// Description returns the first line of the help text.
+func (recordArgs) Description() string {
+	return "Records the events of a node as a trace for 'gypsumrail replay'. Request identities and\n" +
+		"idempotency keys are replaced by pseudonyms."
+}
+
+// Bounds of a recording.
+const (
+	recordForDefault    = 10 * time.Second
+	recordForMin        = time.Second
+	recordForMax        = 10 * time.Minute
+	recordEventsDefault = 100_000
+	recordEventsMax     = 1_000_000
+)
+
+// recordPlan is a recording whose settings are valid.
+type recordPlan struct {
+	client    *admin.Client
+	length    time.Duration
+	maxEvents int
+	mask      *mask.Mask
+	set       []byte              // record set, or nil
+	records   *gypsumrail.Records // of the set
+	out       string
+}
+
+func runRecord(args []string, out, errOut io.Writer) int {
+	var settings recordArgs
+	if code, ok := parseArgs("record", &settings, args, out, errOut); !ok {
+		return code
+	}
+	plan, wrong := buildRecord(settings)
+	if len(wrong) > 0 {
+		return wrong.write("record", errOut)
+	}
+	if err := plan.run(out, errOut); err != nil {
+		fmt.Fprintf(errOut, "gypsumrail record: %v\n", err)
+		return ExitNotMet
+	}
+	return ExitOK
+}
+
+func buildRecord(settings recordArgs) (recordPlan, problems) {
+	var wrong problems
+	wrong.address(settings.Address)
+	plan := recordPlan{
+		client:    admin.NewClient(settings.Address),
+		length:    wrong.duration("--for", settings.For, recordForMin, recordForMax, recordForDefault),
+		maxEvents: wrong.whole("--max-events", settings.MaxEvents, 1, recordEventsMax, recordEventsDefault),
+		out:       settings.Out,
+	}
+	salt := settings.Salt
+	if salt == "" {
+		salt = rand.Text()
+	}
+	plan.mask = mask.New([]byte(salt))
+	if settings.Records != "" {
+		content, err := os.ReadFile(settings.Records)
+		if err == nil {
+			plan.records, err = record.Parse(settings.Records, content, record.Options{})
+		}
+		if err != nil {
+			wrong.add("--records", err.Error())
+		}
+		plan.set = content
+	}
+	return plan, wrong
+}
+
+// duration reads a duration. An empty text gives the fallback.
+func (p *problems) duration(flag, text string, low, high, fallback time.Duration) time.Duration {
+	if text == "" {
+		return fallback
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil || value < low || value > high {
+		p.add(flag, fmt.Sprintf("%q is not a duration from %v to %v, such as 30s", text, low, high))
+	}
+	return value
+}
+
+func (plan recordPlan) run(out, errOut io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, plan.length)
+	defer cancel()
+	before, err := plan.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if plan.out != "" {
+		file, err := os.OpenFile(plan.out, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+		if err != nil {
+			return err
+		}
+		defer file.Close() //nolint:errcheck // the last write is checked by Flush and Sync
+		out = file
+	}
+	tape := &tape{plan: &plan, out: out}
+	if err := tape.record(ctx, before); err != nil {
+		return err
+	}
+	fmt.Fprintf(errOut, "recorded %s, %d bytes; %s\n", count(tape.events, "event"), tape.bytes, tape.end)
+	// The recording may have used up ctx.
+	ctx, cancel = context.WithTimeout(context.Background(), statusTime)
+	defer cancel()
+	if after, err := plan.client.Status(ctx); err == nil && after.Shell.EventsDropped > before.Shell.EventsDropped {
+		fmt.Fprintf(errOut, "the trace has gaps: the node dropped %d events because readers of its stream were too slow\n",
+			after.Shell.EventsDropped-before.Shell.EventsDropped)
+	}
+	return nil
+}
+
+// tape writes one recording.
+type tape struct {
+	plan   *recordPlan
+	out    io.Writer
+	writer *trace.Writer
+	bytes  int64
+	events int
+	first  bool // the first event of the node was written
+	end    string
+	err    error
+}
+
+// Write counts the bytes of the trace.
+func (t *tape) Write(p []byte) (int, error) {
+	n, err := t.out.Write(p)
+	t.bytes += int64(n)
+	return n, err
+}
+
+func (t *tape) record(ctx context.Context, status *admin.Status) error {
+	buffered := bufio.NewWriter(t)
+	self := status.Node.Self
+	writer, err := trace.NewWriter(buffered, trace.Header{
+		Kind: trace.KindNode, Name: "recorded-" + self.Name, Self: self, Records: json.RawMessage(t.plan.set),
+	})
+	if err != nil {
+		return err
+	}
+	t.writer = writer
+	t.end = "the node ended the stream"
+	err = t.plan.client.Events(ctx, func(event *gypsumrail.Event) bool {
+		if !t.first {
+			t.first = true
+			t.context(event.At, status)
+		}
+		t.plan.mask.Event(event)
+		t.put(event)
+		switch {
+		case t.err != nil:
+			return false
+		case t.events >= t.plan.maxEvents:
+			t.end = "--max-events was reached"
+		case t.bytes+trace.MaxLineBytes > trace.MaxFileBytes:
+			t.end = "the trace is as large as a trace may be"
+		default:
+			return true
+		}
+		return false
+	})
+	if ctx.Err() != nil && t.err == nil {
+		t.end = "the time was over"
+	}
+	if err == nil {
+		err = t.err
+	}
+	if err == nil {
+		err = buffered.Flush()
+	}
+	return err
+}
+
+// context writes what the node knew when the recording began, as the events by
+// which a replay learns it: the records if they were given, and the instances.
+// A status tells neither addresses, which no decision needs, nor the incarnations
+// of other instances: a replay refuses the keyed calls whose home they are.
+func (t *tape) context(at gypsumrail.Millis, status *admin.Status) {
+	if t.plan.records != nil {
+		t.put(&gypsumrail.Event{
+			Kind: gypsumrail.RecordsRead, At: at, Records: t.plan.records,
+			Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: t.plan.records.Revision},
+		})
+	}
+	read := gypsumrail.Event{
+		Kind: gypsumrail.InstancesRead, At: at, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1},
+	}
+	read.Instances = append(read.Instances, status.Node.Self)
+	for _, service := range status.Node.Services {
+		for _, u := range service.Upstreams {
+			if u.Instance == status.Node.Self.Name {
+				continue
+			}
+			read.Instances = append(read.Instances, gypsumrail.Instance{
+				Name: u.Instance, Service: service.Name, Zone: u.Zone, State: gypsumrail.Live,
+			})
+		}
+	}
+	t.put(&read)
+}
+
+func (t *tape) put(event *gypsumrail.Event) {
+	if t.err == nil {
+		t.err = t.writer.Event(event)
+		t.events++
+	}
+}
--- /dev/null
+++ b/verbs/status.go
@@ -0,0 +1,77 @@
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail/admin"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// statusArgs are the arguments of status.
+type statusArgs struct {
+	Address string `arg:"positional,env:GYPSUMRAIL_ADDRESS" placeholder:"ADDRESS" help:"IP address and port of the admin endpoint (required)"`
+	JSON    bool   `arg:"--json,env:GYPSUMRAIL_JSON" help:"print JSON"`
+}
+
+// Description returns the first line of the help text.
+func (statusArgs) Description() string {
+	return "Shows what a node holds in force and why: records, limits, upstreams, refusals.\n" +
+		"Exit code 0: the node answered, whatever its state; 1: it did not; 2: wrong usage."
+}
+
+// statusTime bounds the wait for a node. An operator asks again rather than wait.
+const statusTime = 5 * time.Second
+
+// statusPlan is a question to a valid address.
+type statusPlan struct {
+	client *admin.Client
+	json   bool
+}
+
+func runStatus(args []string, out, errOut io.Writer) int {
+	var settings statusArgs
+	if code, ok := parseArgs("status", &settings, args, out, errOut); !ok {
+		return code
+	}
+	plan, wrong := buildStatus(settings)
+	if len(wrong) > 0 {
+		return wrong.write("status", errOut)
+	}
+	if err := plan.run(out); err != nil {
+		fmt.Fprintf(errOut, "gypsumrail status: %v\n", err)
+		return ExitNotMet
+	}
+	return ExitOK
+}
+
+func buildStatus(settings statusArgs) (statusPlan, problems) {
+	var wrong problems
+	wrong.address(settings.Address)
+	return statusPlan{client: admin.NewClient(settings.Address), json: settings.JSON}, wrong
+}
+
+// address checks the address of an admin endpoint.
+func (p *problems) address(text string) {
+	if !wire.ValidAddress(text) {
+		*p = append(*p, fmt.Sprintf("ADDRESS (GYPSUMRAIL_ADDRESS): %q is not an IP address and port", text))
+	}
+}
+
+func (plan statusPlan) run(out io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTime)
+	defer cancel()
+	status, err := plan.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if !plan.json {
+		return status.Write(out)
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(status)
+}
--- a/verbs/verbs_test.go
+++ b/verbs/verbs_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,12 +17,16 @@
 
 // Guards against verbs whose output or exit code changes unnoticed. A case is a
 // file: the command line, with settings of the environment before it, then the
-// exit code and both outputs.
+// exit code and both outputs. NODE is the address of an admin endpoint that
+// serves testdata/admin, OTHER that of a server that is no node.
 func TestCases(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no cases: %v", err)
 	}
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "{}") }))
+	defer other.Close()
+	addresses := map[string]string{"NODE": fakeNode(t), "OTHER": other.Listener.Addr().String()}
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			data, err := os.ReadFile(file)
@@ -34,7 +40,11 @@
 				}
 			}
 			command, _, _ := strings.Cut(string(data), "\n")
-			words := strings.Fields(strings.TrimPrefix(command, "$ "))
+			line := strings.TrimPrefix(command, "$ ")
+			for name, address := range addresses {
+				line = strings.ReplaceAll(line, name, address)
+			}
+			words := strings.Fields(line)
 			for len(words) > 0 && strings.Contains(words[0], "=") {
 				name, value, _ := strings.Cut(words[0], "=")
 				t.Setenv(name, value)
@@ -46,6 +56,9 @@
 			var out, errOut strings.Builder
 			code := Main(words[1:], &out, &errOut)
 			got := fmt.Sprintf("%s\nexit %d\n-- out --\n%s-- err --\n%s", command, code, &out, &errOut)
+			for name, address := range addresses {
+				got = strings.ReplaceAll(got, address, name)
+			}
 			if *update {
 				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
 					t.Fatal(err)
@@ -57,3 +70,14 @@
 		})
 	}
 }
+
+// fakeNode returns the address of an admin endpoint.
+func fakeNode(t *testing.T) string {
+	t.Helper()
+	files := map[string]string{"/status": "testdata/admin/status.json", "/events": "testdata/admin/events.jsonl"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.ServeFile(w, r, files[r.URL.Path])
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
