--- a/replay/node.go
+++ b/replay/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,7 +25,7 @@
 		records = &gypsumrail.Records{}
 	}
 	policy := Policy{Name: "full"}
-	node := core.New(policy.Settings, policy.parts(file.Header.Self, 0, records, slices.Sorted(maps.Keys(records.Services))))
+	node := core.New(policy.Settings, policy.parts(file.Header.Self, records))
 	result := &NodeResult{Effects: map[gypsumrail.EffectKind]int{}, Refusals: map[gypsumrail.Reason]int{}}
 	digest := xxhash.New()
 	encoder := json.NewEncoder(digest)
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -8,6 +8,8 @@
 	"github.com/gypsumrail/gypsumrail/plain"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/retry"
+	"github.com/gypsumrail/gypsumrail/revise"
+	"github.com/gypsumrail/gypsumrail/route"
 )
 
 // Policy is a set of decision parts that a replay compares with others.
@@ -47,7 +49,7 @@
 }
 
 // parts builds the decision parts of one node.
-func (p *Policy) parts(self gypsumrail.Instance, index int, records *gypsumrail.Records, services []string) core.Parts {
+func (p *Policy) parts(self gypsumrail.Instance, records *gypsumrail.Records) core.Parts {
 	slots := 1
 	if target := records.Targets[self.Name]; target != nil {
 		slots = target.Slots
@@ -56,11 +58,11 @@
 		Limiter:   plain.Limit(slots),
 		Queue:     queue.NewFIFO(queue.Settings{}),
 		Shedder:   plain.Open{},
-		Router:    plain.NewRobin(index, services),
+		Router:    route.NewRoundRobin(),
 		Budget:    plain.Unlimited{},
 		Ledger:    ledger.New(self, ledger.Settings{}),
 		Directory: member.New(self, member.Settings{}),
-		Values:    once{},
+		Values:    revise.New(revise.Settings{}),
 	}
 	if p.unbounded {
 		parts.Limiter = plain.Limit(unboundedLimit)
@@ -68,6 +70,9 @@
 	if !p.plainQueue {
 		parts.Queue = queue.New(queue.Settings{})
 	}
+	if !p.plainRoute {
+		parts.Router = route.New(self, route.Settings{})
+	}
 	if !p.plainRetry {
 		parts.Budget = retry.New(retry.Settings{})
 	}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -95,10 +95,9 @@
 
 func (w *world) build(policy Policy) {
 	list := instances(w.file.Records)
-	services := slices.Sorted(maps.Keys(w.file.Records.Services))
 	for i := range list {
 		n := &node{world: w, self: list[i], kept: map[string]int{}}
-		n.core = core.New(policy.Settings, policy.parts(list[i], i, w.file.Records, services))
+		n.core = core.New(policy.Settings, policy.parts(list[i], w.file.Records))
 		target := w.file.Records.Targets[list[i].Name]
 		n.target = fakes.New(n, fakes.NewPlan(w.file, target), target.Conns)
 		w.nodes = append(w.nodes, n)
