Show the share of an oracle that cannot hold requests back

An oracle that may start a request any time before its deadline is the honest upper bound and stays the one that outcomes use. The second figure tells whether a gap comes from shedding wrongly or from not holding requests with deadlines of many seconds.

--- a/oracle/oracle.go
+++ b/oracle/oracle.go
@@ -56,6 +56,7 @@
 
 // oracle is the state of one computation.
 type oracle struct {
+	options  Options
 	records  *gypsumrail.Records
 	services map[string]*service
 	uses     map[string][][]*pool // by class: the pools of each call in the tree
@@ -64,13 +65,22 @@
 	client   draws.Micros
 }
 
+// Options change what the oracle may do.
+type Options struct {
+	// NoWaiting lets a request start only in the window of its arrival. The
+	// difference to the oracle proper is what could only be answered by holding
+	// requests back for a second or more.
+	NoWaiting bool
+}
+
 // Answerable tells for each request whether the oracle answers it in time.
-func Answerable(file *trace.File, requests []draws.Request) []bool {
+func Answerable(file *trace.File, requests []draws.Request, options Options) []bool {
 	end := draws.Of(file.Header.Until)
 	for i := range requests {
 		end = max(end, requests[i].Deadline())
 	}
 	o := &oracle{
+		options:  options,
 		records:  file.Records,
 		services: map[string]*service{},
 		uses:     map[string][][]*pool{},
@@ -151,7 +161,11 @@
 func (o *oracle) admit(request *draws.Request) bool {
 	class := request.Tree.Class
 	pools := o.poolsOf(request.Tree)
-	for w := int(request.At / windowSpan); w < o.windows; w++ {
+	first := int(request.At / windowSpan)
+	for w := first; w < o.windows; w++ {
+		if w > first && o.options.NoWaiting {
+			return false
+		}
 		start := max(request.At, draws.Micros(w)*windowSpan)
 		if start > request.Deadline() {
 			return false
--- a/oracle/oracle_test.go
+++ b/oracle/oracle_test.go
@@ -52,7 +52,7 @@
 			requests := draws.Requests(file, 1)
 			count, offered := map[string]int{}, map[string]int{}
 			total := 0
-			for i, answered := range oracle.Answerable(file, requests) {
+			for i, answered := range oracle.Answerable(file, requests, oracle.Options{}) {
 				class := requests[i].Tree.Class.Name
 				offered[class]++
 				if answered {
@@ -71,6 +71,15 @@
 			if total > 40 {
 				t.Errorf("%d requests are answered, but two windows have room for 40", total)
 			}
+			now := 0
+			for _, answered := range oracle.Answerable(file, requests, oracle.Options{NoWaiting: true}) {
+				if answered {
+					now++
+				}
+			}
+			if now > 20 || now > total {
+				t.Errorf("%d requests are answered without waiting, but one window has room for 20", now)
+			}
 		})
 	}
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -15,7 +15,7 @@
 
 // steady returns a tally with 100 requests a second for 30 s, of which the ones
 // that arrive in [10 s, back) fail, but for one good second from lucky on.
-func steady(lucky, back draws.Micros) (*trace.File, *tally.Tally, []bool) {
+func steady(lucky, back draws.Micros) (*trace.File, *tally.Tally, Yardstick) {
 	class := &gypsumrail.Class{Name: "c", Importance: 1}
 	phase := &trace.Phase{Deadline: 1000}
 	var requests []draws.Request
@@ -33,7 +33,7 @@
 		}
 	}
 	file := &trace.File{Header: trace.Header{Name: "t", Until: 30_000, Trigger: trace.Span{From: 10_000, Until: 12_000}}}
-	return file, t, answerable
+	return file, t, Yardstick{Oracle: answerable, Now: answerable}
 }
 
 // Guards against a recovery time that ends before goodput is back, or counts
--- a/report/result.go
+++ b/report/result.go
@@ -33,6 +33,7 @@
 	Weighted     float64 // good requests, each counted with its importance + 1
 	Oracle       float64 // the same of the oracle
 	Share        float64 // Weighted / Oracle
+	ShareNow     float64 // Weighted / that of the oracle without waiting
 	Baseline     float64 `json:",omitempty"` // Weighted / that of the best baseline
 	WorkMillis   int64   // of all targets
 	WastedMillis int64   // of it, for requests that were not good
@@ -49,6 +50,21 @@
 	at           map[trace.Measure]gypsumrail.Millis // where each measure was worst
 }
 
+// Yardstick tells for each request whether the oracle answers it in time, and
+// whether it does so without holding requests back.
+type Yardstick struct {
+	Oracle []bool
+	Now    []bool
+}
+
+// ratio is 1 if there was nothing to reach.
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return part / whole
+}
+
 const (
 	second = draws.Micros(1_000_000)
 	// recoveryShare is the part of the goodput before the trigger that counts as recovered.
@@ -62,7 +78,7 @@
 )
 
 // NewResult computes the measures of one replay.
-func NewResult(file *trace.File, seed uint64, policy string, t *tally.Tally, answerable []bool) *Result {
+func NewResult(file *trace.File, seed uint64, policy string, t *tally.Tally, yardstick Yardstick) *Result {
 	r := &Result{
 		Trace: file.Header.Name, Policy: policy, Seed: seed,
 		RunsMax: t.Runs.Value, NotRunRan: t.NotRunRan.Value, RetriesOver: t.RetriesOver.Value,
@@ -74,16 +90,16 @@
 			trace.Recovery:       file.Header.Trigger.Until,
 		},
 	}
-	r.addRequests(t, answerable)
+	r.addRequests(t, yardstick)
 	r.addClasses(t)
 	r.addRecovery(file, t)
 	return r
 }
 
-func (r *Result) addRequests(t *tally.Tally, answerable []bool) {
+func (r *Result) addRequests(t *tally.Tally, yardstick Yardstick) {
 	classes := map[string]*Class{}
 	var missed []float64 // weighted, by second of arrival
-	var attempts int
+	attempts, now := 0, 0.0
 	for i := range t.Requests {
 		request, user := &t.Requests[i], &t.Users[i]
 		class := request.Tree.Class
@@ -97,7 +113,10 @@
 		for int(request.At/second) >= len(missed) {
 			missed = append(missed, 0)
 		}
-		if answerable[i] {
+		if yardstick.Now[i] {
+			now += weight
+		}
+		if yardstick.Oracle[i] {
 			c.Oracle++
 			r.Oracle += weight
 			missed[request.At/second] += weight
@@ -117,10 +136,7 @@
 	if len(t.Requests) > 0 {
 		r.Attempts = float64(attempts) / float64(len(t.Requests))
 	}
-	r.Share = 1
-	if r.Oracle > 0 {
-		r.Share = r.Weighted / r.Oracle
-	}
+	r.Share, r.ShareNow = ratio(r.Weighted, r.Oracle), ratio(r.Weighted, now)
 	if len(missed) > 0 {
 		worst := draws.Micros(slices.Index(missed, slices.Max(missed))) * second
 		r.at[trace.WeightedShare] = worst.Millis()
--- a/report/table.go
+++ b/report/table.go
@@ -48,6 +48,7 @@
 
 var columns = []column{
 	{"share%", "%.1f", func(r *Result) float64 { return 100 * r.Share }},
+	{"now%", "%.1f", func(r *Result) float64 { return 100 * r.ShareNow }},
 	{"wasted%", "%.1f", func(r *Result) float64 { return percent(float64(r.WastedMillis), float64(r.WorkMillis)) }},
 	{"att", "%.2f", func(r *Result) float64 { return r.Attempts }},
 	{"max", "%.0f", func(r *Result) float64 { return float64(r.AttemptsMax) }},
@@ -55,7 +56,7 @@
 	{"over", "%.0f", func(r *Result) float64 { return float64(r.RetriesOver) }},
 	{"sheds", "%.0f", func(r *Result) float64 { return float64(r.Sheds) }},
 	{"invert%", "%.2f", func(r *Result) float64 { return percent(float64(r.Inversions), float64(r.Sheds)) }},
-	{"recovery", "%.1f", func(r *Result) float64 { return float64(r.Recovery) / 1000 }},
+	{"recov s", "%.1f", func(r *Result) float64 { return float64(r.Recovery) / 1000 }},
 	{"runs", "%.0f", func(r *Result) float64 { return float64(r.RunsMax) }},
 	{"notrun", "%.0f", func(r *Result) float64 { return float64(r.NotRunRan) }},
 }
@@ -82,14 +83,14 @@
 		fmt.Fprintf(w, " to %d, mean ± largest distance from it", first.Seed+uint64(seeds)-1)
 	}
 	fmt.Fprintln(w)
-	width := 9
+	width := 8
 	if seeds > 1 {
-		width = 13
+		width = 11
 	}
 	shown := columns
 	if seeds > 1 {
 		// The narrow counts are left out to stay within 120 columns; --json has them.
-		shown = []column{columns[0], columns[1], columns[2], columns[5], columns[7], columns[8], columns[9], columns[10]}
+		shown = []column{columns[0], columns[1], columns[2], columns[3], columns[6], columns[8], columns[9], columns[10], columns[11]}
 	}
 	fmt.Fprintf(w, "  %-11s", "policy")
 	for _, c := range shown {
@@ -100,7 +101,7 @@
 		fmt.Fprintf(w, "  %-11s", row[0].Policy)
 		for _, c := range shown {
 			text := spreadOf(row, c.figure).text(c.format, seeds)
-			if c.title == "recovery" {
+			if c.title == "recov s" {
 				text = recoveryText(row, text)
 			}
 			fmt.Fprintf(w, "%*s", width, text)
--- a/verbs/replay.go
+++ b/verbs/replay.go
@@ -148,14 +148,17 @@
 // in parallel and share only the requests, which they do not change.
 func replaySeed(file *trace.File, policies []replay.Policy, seed uint64) []*report.Result {
 	requests := draws.Requests(file, seed)
-	answerable := oracle.Answerable(file, requests)
+	yardstick := report.Yardstick{
+		Oracle: oracle.Answerable(file, requests, oracle.Options{}),
+		Now:    oracle.Answerable(file, requests, oracle.Options{NoWaiting: true}),
+	}
 	results := make([]*report.Result, len(policies))
 	var group errgroup.Group
 	group.SetLimit(replaysAtOnce)
 	for i, policy := range policies {
 		group.Go(func() error {
 			t := replay.Run(file, requests, seed, policy)
-			results[i] = report.NewResult(file, seed, policy.Name, t, answerable)
+			results[i] = report.NewResult(file, seed, policy.Name, t, yardstick)
 			return nil
 		})
 	}
