--- a/replay/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,7 @@
-package replay
+// Package policy builds the nodes of a replay: those that run, the baselines, and
+// those that have one part replaced by its baseline, which shows what the part
+// is worth.
+package policy
 
 import (
 	"github.com/gypsumrail/gypsumrail"
@@ -12,7 +15,7 @@
 	"github.com/gypsumrail/gypsumrail/route"
 )
 
-// Policy is a set of decision parts that a replay compares with others.
+// Policy is a choice of decision parts.
 type Policy struct {
 	Name     string
 	Settings core.Settings
@@ -25,8 +28,8 @@
 // unboundedLimit is above the calls that a node can hold.
 const unboundedLimit = 1 << 20
 
-// Policies returns all policies in the order of the report.
-func Policies() []Policy {
+// All returns all policies in the order of the report.
+func All() []Policy {
 	perHop := core.Settings{Retry: core.RetryPerHop}
 	return []Policy{
 		{
@@ -39,7 +42,7 @@
 			Settings:   core.Settings{Retry: core.RetryPerHop, ReserveShare: -1, NoEarlyShed: true, NoDeadlines: true},
 			plainLimit: true, plainQueue: true, plainShed: true, plainRetry: true, plainRoute: true,
 		},
-		{Name: "full"},
+		Full(),
 		{Name: "full-limit", plainLimit: true},
 		{Name: "full-queue", plainQueue: true},
 		{Name: "full-shed", plainShed: true, Settings: core.Settings{NoEarlyShed: true}},
@@ -48,8 +51,11 @@
 	}
 }
 
-// parts builds the decision parts of one node.
-func (p *Policy) parts(self gypsumrail.Instance, records *gypsumrail.Records) core.Parts {
+// Full returns the policy that nodes run.
+func Full() Policy { return Policy{Name: "full"} }
+
+// Parts builds the decision parts of one node.
+func (p *Policy) Parts(self gypsumrail.Instance, records *gypsumrail.Records) core.Parts {
 	slots := 1
 	if target := records.Targets[self.Name]; target != nil {
 		slots = target.Slots
--- a/replay/node.go
+++ b/replay/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/policy"
 	"github.com/gypsumrail/gypsumrail/trace"
 )
 
@@ -24,8 +25,8 @@
 	if records == nil {
 		records = &gypsumrail.Records{}
 	}
-	policy := Policy{Name: "full"}
-	node := core.New(policy.Settings, policy.parts(file.Header.Self, records))
+	full := policy.Full()
+	node := core.New(full.Settings, full.Parts(file.Header.Self, records))
 	result := &NodeResult{Effects: map[gypsumrail.EffectKind]int{}, Refusals: map[gypsumrail.Reason]int{}}
 	digest := xxhash.New()
 	encoder := json.NewEncoder(digest)
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/draws"
 	"github.com/gypsumrail/gypsumrail/fakes"
+	"github.com/gypsumrail/gypsumrail/policy"
 	"github.com/gypsumrail/gypsumrail/tally"
 	"github.com/gypsumrail/gypsumrail/trace"
 )
@@ -54,7 +55,7 @@
 
 // Run replays a scenario under one policy. The requests must have been drawn
 // from the same file and seed.
-func Run(file *trace.File, requests []draws.Request, seed uint64, policy Policy) *tally.Tally {
+func Run(file *trace.File, requests []draws.Request, seed uint64, with policy.Policy) *tally.Tally {
 	delays := file.Header.Delays
 	w := &world{
 		file:      file,
@@ -68,7 +69,7 @@
 		zone:      draws.OfFloat(delays.ZoneMillis),
 		client:    draws.OfFloat(delays.ClientMillis),
 	}
-	w.build(policy)
+	w.build(with)
 	w.arrivals(requests)
 	// Requests that arrive last get the time to their deadline.
 	end := draws.Of(file.Header.Until)
@@ -93,11 +94,11 @@
 	return list
 }
 
-func (w *world) build(policy Policy) {
+func (w *world) build(with policy.Policy) {
 	list := instances(w.file.Records)
 	for i := range list {
 		n := &node{world: w, self: list[i], kept: map[string]int{}}
-		n.core = core.New(policy.Settings, policy.parts(list[i], w.file.Records))
+		n.core = core.New(with.Settings, with.Parts(list[i], w.file.Records))
 		target := w.file.Records.Targets[list[i].Name]
 		n.target = fakes.New(n, fakes.NewPlan(w.file, target), target.Conns)
 		w.nodes = append(w.nodes, n)
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/gypsumrail/gypsumrail/draws"
+	"github.com/gypsumrail/gypsumrail/policy"
 	"github.com/gypsumrail/gypsumrail/tally"
 	"github.com/gypsumrail/gypsumrail/trace"
 )
@@ -51,8 +52,8 @@
 		file.Phases[i].Deadline = 5000
 	}
 	requests := draws.Requests(file, 9)
-	for _, policy := range Policies() {
-		counts := Run(file, requests, 9, policy)
+	for _, p := range policy.All() {
+		counts := Run(file, requests, 9, p)
 		for i := range requests {
 			var work draws.Micros
 			for _, w := range requests[i].Work {
@@ -61,11 +62,11 @@
 			u := &counts.Users[i]
 			// A run of two pieces loses at most 1 microsecond to rounding.
 			if !u.Good || u.Tries != 1 || u.Attempts != 2 || u.Retries != 0 || work-u.Worked > 2 || u.Worked-work > 2 {
-				t.Fatalf("policy %s, request %d: %+v, drawn work %d", policy.Name, i, *u, work)
+				t.Fatalf("policy %s, request %d: %+v, drawn work %d", p.Name, i, *u, work)
 			}
 			// The client's two ways, and the work, are the least that a request takes.
 			if u.GoodAt < requests[i].At+2*2000+work {
-				t.Fatalf("policy %s, request %d is answered before its work is done", policy.Name, i)
+				t.Fatalf("policy %s, request %d is answered before its work is done", p.Name, i)
 			}
 		}
 	}
--- a/verbs/replay.go
+++ b/verbs/replay.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumrail/gypsumrail/draws"
 	"github.com/gypsumrail/gypsumrail/oracle"
+	"github.com/gypsumrail/gypsumrail/policy"
 	"github.com/gypsumrail/gypsumrail/replay"
 	"github.com/gypsumrail/gypsumrail/report"
 	"github.com/gypsumrail/gypsumrail/trace"
@@ -73,12 +74,12 @@
 	return code
 }
 
-func selectPolicies(name string) ([]replay.Policy, error) {
-	all := replay.Policies()
+func selectPolicies(name string) ([]policy.Policy, error) {
+	all := policy.All()
 	if name == "all" {
 		return all, nil
 	}
-	i := slices.IndexFunc(all, func(p replay.Policy) bool { return p.Name == name })
+	i := slices.IndexFunc(all, func(p policy.Policy) bool { return p.Name == name })
 	if i < 0 {
 		return nil, fmt.Errorf("unknown policy %q; 'all' shows the known ones", name)
 	}
@@ -96,7 +97,7 @@
 
 // replayScenario replays one trace, writes the results and tells whether an
 // outcome was missed that is not known to be.
-func replayScenario(file *trace.File, policies []replay.Policy, a *replayArgs, known report.Known, out io.Writer) bool {
+func replayScenario(file *trace.File, policies []policy.Policy, a *replayArgs, known report.Known, out io.Writer) bool {
 	group := report.Group{File: file, Rows: make([][]*report.Result, len(policies))}
 	for seed := range a.Seeds {
 		results := replaySeed(file, policies, file.Header.Seed+uint64(seed))
@@ -146,7 +147,7 @@
 
 // replaySeed replays one trace with one seed under each policy. The replays run
 // in parallel and share only the requests, which they do not change.
-func replaySeed(file *trace.File, policies []replay.Policy, seed uint64) []*report.Result {
+func replaySeed(file *trace.File, policies []policy.Policy, seed uint64) []*report.Result {
 	requests := draws.Requests(file, seed)
 	yardstick := report.Yardstick{
 		Oracle: oracle.Answerable(file, requests, oracle.Options{}),
@@ -155,10 +156,10 @@
 	results := make([]*report.Result, len(policies))
 	var group errgroup.Group
 	group.SetLimit(replaysAtOnce)
-	for i, policy := range policies {
+	for i, p := range policies {
 		group.Go(func() error {
-			t := replay.Run(file, requests, seed, policy)
-			results[i] = report.NewResult(file, seed, policy.Name, t, yardstick)
+			t := replay.Run(file, requests, seed, p)
+			results[i] = report.NewResult(file, seed, p.Name, t, yardstick)
 			return nil
 		})
 	}
