--- a/plain/plain.go
+++ b/plain/plain.go
@@ -1,5 +1,5 @@
-// Package plain holds the simplest parts of a node: a static limit, no
-// shedding, round robin and an unlimited budget.
+// Package plain holds the simplest parts of a node: a static limit and an
+// unlimited budget.
 //
 // They are the baselines that replays compare the real parts with. Each real
 // part can be replaced by its plain one, which shows what that part is worth.
@@ -22,30 +22,6 @@
 // SetCeiling ignores the slots of the records.
 func (l Limit) SetCeiling(int) {}
 
-// Open refuses nothing. It implements gypsumrail.Shedder.
-type Open struct{}
-
-// Threshold returns zero: all levels are admitted.
-func (Open) Threshold() gypsumrail.Level { return 0 }
-
-// Observe ignores the load.
-func (Open) Observe(gypsumrail.Millis, gypsumrail.Load) {}
-
-// Offered ignores the arrival.
-func (Open) Offered(gypsumrail.Millis, gypsumrail.Level, bool) {}
-
-// Learn ignores the threshold of an upstream.
-func (Open) Learn(gypsumrail.Millis, string, string, gypsumrail.Level) {}
-
-// LearnHint ignores the hint.
-func (Open) LearnHint(gypsumrail.Millis, gypsumrail.Hint) {}
-
-// Refuses returns false.
-func (Open) Refuses(gypsumrail.Millis, gypsumrail.Level, []string) (string, bool) { return "", false }
-
-// Hints returns dst unchanged.
-func (Open) Hints(_ gypsumrail.Millis, _ int, dst []gypsumrail.Hint) []gypsumrail.Hint { return dst }
-
 // Unlimited allows every retry. It implements gypsumrail.Budget.
 type Unlimited struct{}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumrail/gypsumrail/retry"
 	"github.com/gypsumrail/gypsumrail/revise"
 	"github.com/gypsumrail/gypsumrail/route"
+	"github.com/gypsumrail/gypsumrail/shed"
 )
 
 // Policy is a choice of decision parts.
@@ -63,7 +64,7 @@
 	parts := core.Parts{
 		Limiter:   plain.Limit(slots),
 		Queue:     queue.NewFIFO(queue.Settings{}),
-		Shedder:   plain.Open{},
+		Shedder:   shed.None{},
 		Router:    route.NewRoundRobin(),
 		Budget:    plain.Unlimited{},
 		Ledger:    ledger.New(self, ledger.Settings{}),
@@ -76,6 +77,9 @@
 	if !p.plainQueue {
 		parts.Queue = queue.New(queue.Settings{})
 	}
+	if !p.plainShed {
+		parts.Shedder = shed.New(shed.Settings{})
+	}
 	if !p.plainRoute {
 		parts.Router = route.New(self, route.Settings{})
 	}
