Perform the reducer's effects (shell)

One mutex serializes the steps and guards the table of calls. Effects are performed under it and only start work, so that a step never waits for the network. A call is held by its handler, its attempts and its run, which end in any order; the last one drops it.

Decisions: - Forwarded calls and control messages share the peers port and are told apart by the identity of the attempt, not by the path, which the caller chooses. - Control messages and the platform have a small pool of their own. Behind the calls of a busy peer they would time out and make it look failed. - Calls do not pass through gin, which holds informational answers back; gin routes the admin port and POST /tickets. - An attempt whose body was sent already ends as NotRun with CallerGone, which the reducer does not retry; the caller is told Broken. - An empty body is sent without a length and without chunks: a server that does not read empty chunks would not notice that the connection closed. - After a pause of 500 ms the reducer gets a tick before any other event. - A node that starts sends its own state to up to 3 seeds; the answers tell the reducer which instances and versions there are, and it pulls them as usual.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -39,7 +39,7 @@
 				faults <- err
 				return
 			}
-			store.Offer(v)
+			_ = store.Offer(v)
 			store.Adopt(v.Version)
 			got <- string(v.Content)
 		})
@@ -117,14 +117,14 @@
 	store := NewStore()
 	first := Value{gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1, Hash: 1}, []byte("one")}
 	second := Value{gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 2, Hash: 2}, []byte("two")}
-	store.Offer(first)
+	_ = store.Offer(first)
 	if store.Adopt(second.Version) {
 		t.Error("a version that was not offered was adopted")
 	}
 	if !store.Adopt(first.Version) || store.Revision(gypsumrail.ValueRecords) != 1 {
 		t.Error("the offered version was not adopted")
 	}
-	store.Offer(second)
+	_ = store.Offer(second)
 	if current, _ := store.Current(gypsumrail.ValueRecords); current.Version != first.Version {
 		t.Error("an offer replaced the content in force")
 	}
--- a/feed/store.go
+++ b/feed/store.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -14,8 +15,8 @@
 // safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
-	offered map[gypsumrail.ValueName]Value
-	force   map[gypsumrail.ValueName]Value // content is compressed
+	offered map[gypsumrail.ValueName]Value // both with compressed content
+	force   map[gypsumrail.ValueName]Value
 }
 
 // NewStore returns an empty store.
@@ -23,13 +24,19 @@
 	return &Store{offered: make(map[gypsumrail.ValueName]Value), force: make(map[gypsumrail.ValueName]Value)}
 }
 
-// Offer keeps a content until Adopt or the next offer of the name.
-func (s *Store) Offer(value Value) {
+// Offer keeps a content until Adopt or the next offer of the name. It compresses
+// the content, which takes milliseconds, so that Adopt takes none.
+func (s *Store) Offer(value Value) error {
+	compressed, err := peer.Compress(value.Content)
+	if err != nil {
+		return fmt.Errorf("offer %s: %w", value.Version.Name, err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.offered[value.Version.Name]; known || len(s.offered) < namesMax {
-		s.offered[value.Version.Name] = value
+		s.offered[value.Version.Name] = Value{value.Version, compressed}
 	}
+	return nil
 }
 
 // Adopt puts the offered content of a version in force and reports whether it
@@ -42,11 +49,7 @@
 		return false
 	}
 	delete(s.offered, version.Name)
-	compressed, err := peer.Compress(value.Content)
-	if err != nil {
-		return false
-	}
-	s.force[version.Name] = Value{version, compressed}
+	s.force[version.Name] = value
 	return true
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -65,7 +65,9 @@
 					if err != nil {
 						return
 					}
-					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Body != http.NoBody {
+						t.Errorf("an empty body was sent as %v", r.TransferEncoding)
+					}
 					seen.Add(1)
 					if i == 0 {
 						fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
--- a/link/send.go
+++ b/link/send.go
@@ -59,6 +59,13 @@
 	if r.Body == nil || r.Body == http.NoBody || r.GetBody != nil {
 		return nil, &SendError{Err: errors.New("link: the transport could resend the request")}
 	}
+	if r.ContentLength == 0 {
+		// The body is empty but not http.NoBody, which the transport would announce
+		// as chunks. A server that does not read them would not notice that the
+		// connection closed. Without a length and chunks the body is empty (RFC 9112,
+		// section 6.3).
+		r.TransferEncoding = []string{"identity"}
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	w := &watch{cancel: cancel, silence: silence}
 	var sent atomic.Bool
--- /dev/null
+++ b/shell/admin.go
@@ -0,0 +1,144 @@
+package shell
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+func newRouter() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.HandleMethodNotAllowed = true
+	return router
+}
+
+// readiness is whether the node should get calls.
+type readiness struct{ adopted, draining atomic.Bool }
+
+func (r *readiness) adopt() { r.adopted.Store(true) }
+func (r *readiness) drain() { r.draining.Store(true) }
+
+// shellStatus is the shell's part of /status.
+type shellStatus struct {
+	Calls          int
+	Answers        int // kept for resends
+	Ready          bool
+	Watching       bool
+	LinesDropped   uint64
+	EventsDropped  uint64
+	RecordsInForce gypsumrail.Revision
+}
+
+// adminHandler serves the operators' port.
+func (s *Shell) adminHandler() http.Handler {
+	router := newRouter()
+	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", s.readyz)
+	router.GET("/status", s.status)
+	router.GET("/events", s.events)
+	if s.parts.Metrics != nil {
+		router.GET("/metrics", gin.WrapH(s.parts.Metrics))
+	}
+	return router
+}
+
+func (s *Shell) readyz(c *gin.Context) {
+	switch {
+	case s.ready.draining.Load():
+		c.String(http.StatusServiceUnavailable, "draining\n")
+	case !s.ready.adopted.Load():
+		c.String(http.StatusServiceUnavailable, "no records yet\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
+	}
+}
+
+func (s *Shell) status(c *gin.Context) {
+	s.mu.Lock()
+	var node any
+	if s.parts.Status != nil {
+		node = s.parts.Status()
+	}
+	content, err := json.Marshal(struct {
+		Node  any
+		Shell shellStatus
+	}{node, shellStatus{
+		Calls: len(s.calls), Answers: len(s.kept.answers),
+		Ready:    s.ready.adopted.Load() && !s.ready.draining.Load(),
+		Watching: s.watching != nil, LinesDropped: s.lines.dropped.Load(), EventsDropped: s.stream.dropped.Load(),
+		RecordsInForce: s.store.Revision(gypsumrail.ValueRecords),
+	}})
+	s.mu.Unlock()
+	if err != nil {
+		c.String(http.StatusInternalServerError, "status: %v\n", err)
+		return
+	}
+	c.Data(http.StatusOK, "application/json", content)
+}
+
+// events streams the reducer's events as JSON lines until the client leaves.
+func (s *Shell) events(c *gin.Context) {
+	reader, ok := s.stream.open()
+	if !ok {
+		c.String(http.StatusServiceUnavailable, "too many readers\n")
+		return
+	}
+	defer s.stream.leave(reader)
+	c.Header("Content-Type", "application/jsonl")
+	c.Status(http.StatusOK)
+	c.Writer.Flush()
+	for {
+		select {
+		case line, open := <-reader:
+			if !open {
+				return
+			}
+			if _, err := c.Writer.Write(line); err != nil {
+				return
+			}
+			if len(reader) == 0 {
+				c.Writer.Flush()
+			}
+		case <-c.Request.Context().Done():
+			return
+		}
+	}
+}
+
+// tickets answers POST /tickets?Service=&Class=&Count= with idempotency keys.
+func (s *Shell) tickets(c *gin.Context) {
+	service, class := c.Query("Service"), c.Query("Class")
+	count, err := strconv.Atoi(c.DefaultQuery("Count", "1"))
+	var fault *wire.FieldError
+	switch {
+	case !wire.ValidName(service):
+		fault = &wire.FieldError{Field: "Service", Problem: "is missing or malformed"}
+	case !wire.ValidName(class):
+		fault = &wire.FieldError{Field: "Class", Problem: "is missing or malformed"}
+	case err != nil || count < 1 || count > wire.TicketsMax:
+		fault = &wire.FieldError{Field: "Count", Problem: "must be a whole number from 1 to " + strconv.Itoa(wire.TicketsMax)}
+	}
+	if fault != nil {
+		wire.WriteProblem(c.Writer, wire.ProblemOf(fault))
+		return
+	}
+	e, err := s.question(c.Request.Context(), &gypsumrail.Event{
+		Kind: gypsumrail.TicketsAsked, Count: count,
+		Arrival: &gypsumrail.Arrival{Origin: gypsumrail.FromCaller, Service: service, Class: class, Attempt: 1},
+	})
+	if err != nil {
+		e.Reason = gypsumrail.ReasonNoUpstream
+	}
+	if len(e.Keys) == 0 {
+		wire.WriteProblem(c.Writer, wire.Problem{Outcome: gypsumrail.NotRun, Reason: e.Reason, RetryAfter: gypsumrail.Second})
+		return
+	}
+	c.JSON(http.StatusOK, struct{ Keys []string }{e.Keys})
+}
