--- a/replay/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,7 @@
-package replay
+// Package policy builds the nodes of a replay: those that run, the baselines, and
+// those that have one part replaced by its baseline, which shows what the part
+// is worth.
+package policy
 
 import (
 	"github.com/gypsumrail/gypsumrail"
@@ -8,9 +11,12 @@
 	"github.com/gypsumrail/gypsumrail/plain"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/retry"
+	"github.com/gypsumrail/gypsumrail/revise"
+	"github.com/gypsumrail/gypsumrail/route"
+	"github.com/gypsumrail/gypsumrail/shed"
 )
 
-// Policy is a set of decision parts that a replay compares with others.
+// Policy is a choice of decision parts.
 type Policy struct {
 	Name     string
 	Settings core.Settings
@@ -23,8 +29,8 @@
 // unboundedLimit is above the calls that a node can hold.
 const unboundedLimit = 1 << 20
 
-// Policies returns all policies in the order of the report.
-func Policies() []Policy {
+// All returns all policies in the order of the report.
+func All() []Policy {
 	perHop := core.Settings{Retry: core.RetryPerHop}
 	return []Policy{
 		{
@@ -37,7 +43,7 @@
 			Settings:   core.Settings{Retry: core.RetryPerHop, ReserveShare: -1, NoEarlyShed: true, NoDeadlines: true},
 			plainLimit: true, plainQueue: true, plainShed: true, plainRetry: true, plainRoute: true,
 		},
-		{Name: "full"},
+		Full(),
 		{Name: "full-limit", plainLimit: true},
 		{Name: "full-queue", plainQueue: true},
 		{Name: "full-shed", plainShed: true, Settings: core.Settings{NoEarlyShed: true}},
@@ -46,8 +52,11 @@
 	}
 }
 
-// parts builds the decision parts of one node.
-func (p *Policy) parts(self gypsumrail.Instance, index int, records *gypsumrail.Records, services []string) core.Parts {
+// Full returns the policy that nodes run.
+func Full() Policy { return Policy{Name: "full"} }
+
+// Parts builds the decision parts of one node.
+func (p *Policy) Parts(self gypsumrail.Instance, records *gypsumrail.Records) core.Parts {
 	slots := 1
 	if target := records.Targets[self.Name]; target != nil {
 		slots = target.Slots
@@ -55,12 +64,12 @@
 	parts := core.Parts{
 		Limiter:   plain.Limit(slots),
 		Queue:     queue.NewFIFO(queue.Settings{}),
-		Shedder:   plain.Open{},
-		Router:    plain.NewRobin(index, services),
+		Shedder:   shed.None{},
+		Router:    route.NewRoundRobin(),
 		Budget:    plain.Unlimited{},
 		Ledger:    ledger.New(self, ledger.Settings{}),
 		Directory: member.New(self, member.Settings{}),
-		Values:    once{},
+		Values:    revise.New(revise.Settings{}),
 	}
 	if p.unbounded {
 		parts.Limiter = plain.Limit(unboundedLimit)
@@ -68,6 +77,12 @@
 	if !p.plainQueue {
 		parts.Queue = queue.New(queue.Settings{})
 	}
+	if !p.plainShed {
+		parts.Shedder = shed.New(shed.Settings{})
+	}
+	if !p.plainRoute {
+		parts.Router = route.New(self, route.Settings{})
+	}
 	if !p.plainRetry {
 		parts.Budget = retry.New(retry.Settings{})
 	}
