Say NotRun of a keyed call only where it is known

An entry node whose connect to the home failed told attempt 2 of a key to be not run, although attempt 1 had run through another node. A resend that arrived while the answer was being passed on was told the same. Now the home, or a first attempt that was never sent, decides.

A key of a future epoch is answered Unknown, because no tombstone keeps it from starting later. Refusals no longer count as fast answers in the router. A value that does not parse is not fetched again.

--- a/core/calls.go
+++ b/core/calls.go
@@ -34,6 +34,7 @@
 	key         gypsumrail.Key // of a non-repeatable call
 	keyText     string
 	ownKey      bool // the key was made here, so another home may be tried with a new key
+	homeSpoke   bool // the home itself said that the key has not run
 	resolving   bool
 	asksEpoch   bool // the home's epoch was asked for, once in the life of the call
 }
--- a/core/core.go
+++ b/core/core.go
@@ -130,6 +130,8 @@
 		n.tick()
 	case gypsumrail.RecordsRead:
 		n.recordsRead(event)
+	case gypsumrail.ValueRefused:
+		n.parts.Values.Refuse(n.now, event.Value)
 	case gypsumrail.InstancesRead:
 		n.instancesRead(event)
 	case gypsumrail.Exchanged:
--- a/core/keys.go
+++ b/core/keys.go
@@ -226,7 +226,9 @@
 	case gypsumrail.VerdictRefused, gypsumrail.VerdictFull:
 		return gypsumrail.NotRun, gypsumrail.ReasonKeyRefused
 	case gypsumrail.VerdictInvalid:
-		return gypsumrail.NotRun, gypsumrail.ReasonKeyRequired
+		// A key of a future epoch leaves no tombstone and could start later, so it
+		// must not be called NotRun.
+		return gypsumrail.Unknown, gypsumrail.ReasonKeyRequired
 	case gypsumrail.VerdictRunning:
 		return gypsumrail.Unknown, gypsumrail.ReasonKeyInUse
 	case gypsumrail.VerdictDone:
--- a/core/send.go
+++ b/core/send.go
@@ -98,7 +98,12 @@
 		return false
 	}
 	if running.answering {
-		n.refuseNew(s, gypsumrail.ReasonKeyInUse)
+		outcome := gypsumrail.NotRun
+		if !s.class.Repeatable {
+			outcome = gypsumrail.Unknown
+		}
+		n.emitRefusal(s, outcome, gypsumrail.ReasonKeyInUse)
+		n.sendPool = append(n.sendPool, s)
 		return true
 	}
 	n.counts.Joined++
@@ -145,11 +150,12 @@
 	n.sendPool = append(n.sendPool, s)
 }
 
-// neverSent returns the outcome of a call that this node did not send. An
-// earlier attempt of a keyed call may have run elsewhere, and only its home can
-// tell.
+// neverSent returns the outcome of a call of which no attempt of this node can
+// have run. An earlier attempt of a non-repeatable call may have run through
+// another node, and only the home of its key can tell.
 func (n *Node) neverSent(s *send) gypsumrail.Outcome {
-	if s.keyText != "" && !s.ownKey && s.attempt > 1 {
+	repeatable := s.class != nil && s.class.Repeatable
+	if s.origin == gypsumrail.FromCaller && !repeatable && s.attempt > 1 && !s.homeSpoke {
 		return gypsumrail.Unknown
 	}
 	return gypsumrail.NotRun
@@ -219,8 +225,6 @@
 	outcome := n.neverSent(s)
 	if s.mayHaveRun {
 		outcome = gypsumrail.Unknown
-	} else if len(s.tries) > 0 {
-		outcome = gypsumrail.NotRun
 	}
 	n.finishWith(s, outcome, reason)
 }
--- a/core/settle.go
+++ b/core/settle.go
@@ -80,6 +80,7 @@
 	s.resolving = false
 	switch outcome {
 	case gypsumrail.NotRun:
+		s.homeSpoke = true
 		if n.mayRetry(s, gypsumrail.ReasonBroken) {
 			n.retry(s)
 			return
--- a/core/tries.go
+++ b/core/tries.go
@@ -6,6 +6,10 @@
 	"github.com/gypsumrail/gypsumrail"
 )
 
+// noLatency tells the router that an answer did not run: refusals are fast and
+// would make a loaded upstream look fast.
+const noLatency = gypsumrail.Millis(-1)
+
 // attemptAnswered takes the head of an answer from an upstream's node.
 func (n *Node) attemptAnswered(event *gypsumrail.Event) {
 	s := n.sends[event.Call]
@@ -21,7 +25,11 @@
 	t.open = passes
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.learn(t.upstream, s.service, result)
-	n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
+	latency := n.now - t.sent
+	if !passes {
+		latency = noLatency
+	}
+	n.parts.Router.Answered(n.now, t.upstream.Name, latency, result.Report)
 	if passes {
 		n.ran(s, event.Attempt, result)
 		return
@@ -91,6 +99,9 @@
 // ended decides what follows an attempt that gave no answer.
 func (n *Node) ended(s *send, attempt int, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	keyed := s.keyText != ""
+	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect {
+		s.homeSpoke = true
+	}
 	if outcome == gypsumrail.Ran {
 		n.finishWith(s, gypsumrail.Ran, reason)
 		return
--- a/event.go
+++ b/event.go
@@ -17,6 +17,7 @@
 	TargetReported  EventKind = "TargetReported"  // Slots, Busy: the own target's load report
 	Tick            EventKind = "Tick"            // nothing: time passed
 	RecordsRead     EventKind = "RecordsRead"     // Value, Records: a valid revision was read
+	ValueRefused    EventKind = "ValueRefused"    // Value: the content that was read is not valid
 	InstancesRead   EventKind = "InstancesRead"   // Value, Instances: the platform's list was read
 	Exchanged       EventKind = "Exchanged"       // Call (to answer), Peer, Exchange: a peer's message arrived
 	PeerFailed      EventKind = "PeerFailed"      // Peer: a control message got no answer
--- a/values.go
+++ b/values.go
@@ -13,6 +13,8 @@
 	Wants(now Millis, offered ValueVersion, peer bool) bool
 	// Adopt puts a fetched version in force if it is newer and reports whether it did.
 	Adopt(now Millis, fetched ValueVersion, peer bool) bool
+	// Refuse records that a fetched version is not valid, so that it is not fetched again.
+	Refuse(now Millis, fetched ValueVersion)
 	// Missing tells whether the time to wait for a first version of the records is over
 	// and none was found.
 	Missing(now Millis) bool
