Group directory entries by service once per generation

Cause: a changed entry makes a node read the upstream list of each of 53 services, and each read scanned all 640 entries.

--- a/member/directory.go
+++ b/member/directory.go
@@ -73,7 +73,8 @@
 	swept  gypsumrail.Millis
 	raised gypsumrail.Millis // when the own version was raised last
 
-	ordered   []*entry // by name, valid in generation orderedAt
+	ordered   []*entry            // by name, valid in generation orderedAt
+	services  map[string][]*entry // the same by service
 	orderedAt uint64
 	reader    bool // valid in generation readerAt
 	readerAt  uint64
@@ -181,25 +182,32 @@
 
 // Upstreams returns the entries of one service, ordered by name.
 func (d *Directory) Upstreams(service string) []gypsumrail.Instance {
-	return d.list(func(e *entry) bool { return e.Service == service })
+	d.byName()
+	return instancesOf(d.services[service])
 }
 
 // Bucket returns all entries of one bucket, ordered by name.
 func (d *Directory) Bucket(i int) []gypsumrail.Instance {
-	return d.list(func(e *entry) bool { return e.bucket == i })
-}
-
-func (d *Directory) list(include func(*entry) bool) []gypsumrail.Instance {
 	var list []gypsumrail.Instance
 	for _, e := range d.byName() {
-		if include(e) {
+		if e.bucket == i {
 			list = append(list, e.Instance)
 		}
 	}
 	return list
 }
 
-// byName returns all entries in order. They are sorted once per generation.
+func instancesOf(entries []*entry) []gypsumrail.Instance {
+	list := make([]gypsumrail.Instance, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, e.Instance)
+	}
+	return list
+}
+
+// byName returns all entries in order. They are sorted and grouped by service
+// once per generation, because a change makes a node read the lists of all
+// services: a scan for each of 53 services took a millisecond at 640 entries.
 func (d *Directory) byName() []*entry {
 	if d.orderedAt == d.generation {
 		return d.ordered
@@ -209,6 +217,10 @@
 		d.ordered = append(d.ordered, e)
 	}
 	slices.SortFunc(d.ordered, func(a, b *entry) int { return cmp.Compare(a.Name, b.Name) })
+	d.services = make(map[string][]*entry)
+	for _, e := range d.ordered {
+		d.services[e.Service] = append(d.services[e.Service], e)
+	}
 	d.orderedAt = d.generation
 	return d.ordered
 }
