Add the concurrency limit of a target

Adaptive compares the throughput of short windows at two limits (hill climbing with a probe) instead of comparing latencies. The knee follows from both windows: rate at the higher limit * calls in flight / rate at the lower limit. A target that merely became slower has the same ratio in both, so its limit stays.

--- /dev/null
+++ b/limit/model_test.go
@@ -0,0 +1,132 @@
+package limit
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/google/btree"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// scenario describes the target over time in 1 ms steps. The target shares its
+// cores among the running calls; a call needs work ms of one core and then
+// waits for its own outgoing calls.
+type scenario struct {
+	name              string
+	cores, work, wait func(now gypsumrail.Millis) float64
+	slots             func(now gypsumrail.Millis) float64 // above which the target refuses; 0 for none
+	from, to          gypsumrail.Millis                   // span of the stated outcome
+	goodput           float64                             // least mean over the seeds
+	limitMax          float64                             // largest mean limit in the span
+}
+
+const modelCeiling = 64
+
+func always(v float64) func(gypsumrail.Millis) float64 {
+	return func(gypsumrail.Millis) float64 { return v }
+}
+
+func during(from, to gypsumrail.Millis, inside, outside float64) func(gypsumrail.Millis) float64 {
+	return func(now gypsumrail.Millis) float64 {
+		if now >= from && now < to {
+			return inside
+		}
+		return outside
+	}
+}
+
+type running struct {
+	finish   float64 // progress of the target, or time, at which this part ends
+	started  gypsumrail.Millis
+	computed gypsumrail.Millis
+	inFlight int
+	id       int
+}
+
+func finishesBefore(a, b running) bool {
+	return a.finish < b.finish || a.finish == b.finish && a.id < b.id
+}
+
+// outcome is what the span of a scenario gave.
+type outcome struct {
+	goodput float64 // completions over those of a target that is kept exactly full
+	limit   float64 // mean
+	self    float64 // mean over the work of an idle target
+}
+
+// simulate keeps as many calls on the target as the limit allows.
+func simulate(limiter gypsumrail.Limiter, s scenario, seed uint64) outcome {
+	random := rand.New(rand.NewPCG(seed, 7))
+	limiter.SetCeiling(modelCeiling)
+	computing := btree.NewG(16, finishesBefore)
+	waiting := btree.NewG(16, finishesBefore)
+	var out outcome
+	progress, ideal, done, id := 0.0, 0.0, 0.0, 0
+	for now := range s.to {
+		slots := s.slots(now)
+		progress += min(1, s.cores(now)/float64(max(1, computing.Len()))) / s.work(now)
+		for first, found := computing.Min(); found && first.finish <= progress; first, found = computing.Min() {
+			computing.DeleteMin()
+			first.computed, first.finish = now, float64(now)+s.wait(now)*random.ExpFloat64()
+			waiting.ReplaceOrInsert(first)
+		}
+		for first, found := waiting.Min(); found && first.finish <= float64(now); first, found = waiting.Min() {
+			waiting.DeleteMin()
+			self := first.computed - first.started
+			limiter.Completed(now, gypsumrail.Sample{Latency: now - first.started, Self: self, InFlight: first.inFlight})
+			if now >= s.from {
+				done++
+				out.self += float64(self) / s.work(now)
+			}
+		}
+		for tries := limiter.Limit() - computing.Len() - waiting.Len(); tries > 0; tries-- {
+			inFlight := computing.Len() + waiting.Len() + 1
+			if slots > 0 && float64(inFlight) > slots {
+				limiter.Completed(now, gypsumrail.Sample{InFlight: inFlight, Refused: true})
+				continue
+			}
+			id++
+			computing.ReplaceOrInsert(running{finish: progress + random.ExpFloat64(), started: now, inFlight: inFlight, id: id})
+		}
+		if now >= s.from {
+			ceiling := float64(modelCeiling)
+			if slots > 0 {
+				ceiling = slots
+			}
+			ideal += min(s.cores(now)/s.work(now), ceiling/(s.work(now)+s.wait(now)))
+			out.limit += float64(limiter.Limit())
+		}
+	}
+	out.goodput, out.self = done/ideal, out.self/max(1, done)
+	out.limit /= float64(s.to - s.from)
+	return out
+}
+
+// gradient is the algorithm that Adaptive is compared with: it scales the limit
+// by the ratio of the smallest to the present time per call and adds the square
+// root of the limit.
+type gradient struct {
+	ceiling, limit, least float64
+	window                window
+}
+
+func (g *gradient) Limit() int                      { return int(g.limit) }
+func (g *gradient) Reported(gypsumrail.Millis, int) {}
+func (g *gradient) SetCeiling(slots int)            { g.ceiling, g.limit = float64(slots), float64(slots)/4 }
+func (g *gradient) Completed(now gypsumrail.Millis, sample gypsumrail.Sample) {
+	g.window.add(now, sample)
+	if !g.window.complete(now, 100, 100) {
+		return
+	}
+	m := g.window.measure(now)
+	g.window = window{start: now}
+	if g.least == 0 || m.self < g.least {
+		g.least = m.self
+	}
+	next := g.limit*min(1, max(0.5, 1.5*g.least/m.self)) + math.Sqrt(g.limit)
+	if m.badShare > badAbove {
+		next = g.limit * max(0.5, 1-m.badShare)
+	}
+	g.limit = min(g.ceiling, max(1, 0.8*g.limit+0.2*next))
+}
