Assemble the parts, search for broken promises, measure slopes

parts puts the same decision parts into the node, the replay and the tests.

The fault search runs six reducers in virtual time with lost, late and copied messages, failing targets, leaving callers, pauses and crashes, and compares what targets ran with what callers were told.

--- /dev/null
+++ b/core/lab_client_test.go
@@ -0,0 +1,102 @@
+package core_test
+
+import (
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// labClient is an external caller with one user request, which it resends
+// through other nodes when it is not told that the request ran.
+type labClient struct {
+	lab     *lab
+	request string
+	class   string
+	key     string
+	attempt int
+	settled bool
+}
+
+const labAttemptsMax = 4
+
+// start sends a user request; one of a non-repeatable class gets a key first.
+func (l *lab) start(request string, keyed bool) {
+	c := &labClient{lab: l, request: request, class: "Read"}
+	if keyed {
+		c.class = "Order"
+		c.takeTicket()
+		return
+	}
+	c.send()
+}
+
+func (l *lab) anyNode() *labNode { return l.nodes[l.rng.IntN(len(l.nodes))] }
+
+func (c *labClient) takeTicket() {
+	l := c.lab
+	n := l.anyNode()
+	if !n.alive {
+		l.after(100, c.takeTicket)
+		return
+	}
+	l.nextCall++
+	call := l.nextCall
+	n.calls[call] = &labCall{reply: func(effect gypsumrail.Effect) {
+		if c.key != "" {
+			return
+		}
+		if len(effect.Keys) == 0 {
+			l.after(100, c.takeTicket)
+			return
+		}
+		c.key = effect.Keys[0]
+		c.send()
+	}}
+	l.step(n, &gypsumrail.Event{Kind: gypsumrail.TicketsAsked, Call: call, Count: 1, Arrival: &gypsumrail.Arrival{Service: "front", Class: c.class}})
+}
+
+// send sends the next attempt through a random node.
+func (c *labClient) send() {
+	l := c.lab
+	c.attempt++
+	attempt := c.attempt
+	n := l.anyNode()
+	identity := identityOf(c.request, attempt)
+	if !n.alive {
+		c.again(attempt)
+		return
+	}
+	l.nextCall++
+	call := l.nextCall
+	n.calls[call] = &labCall{
+		request: c.request, service: "front", identity: identity, key: c.key, attempts: map[int]*labAttempt{},
+		reply: func(effect gypsumrail.Effect) { c.replied(attempt, effect) },
+	}
+	l.step(n, &gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: call, Arrival: &gypsumrail.Arrival{
+		Origin: gypsumrail.FromCaller, Service: "front", Class: c.class, Request: c.request, Attempt: attempt, Key: c.key,
+		Remaining: gypsumrail.Millis(200 + l.rng.IntN(2000)),
+	}})
+	if l.chance(l.faults.callerGone) {
+		l.after(gypsumrail.Millis(l.rng.IntN(100)), func() { l.step(n, &gypsumrail.Event{Kind: gypsumrail.CallerGone, Call: call}) })
+	}
+	l.after(gypsumrail.Millis(300+l.rng.IntN(2500)), func() { c.again(attempt) })
+}
+
+func (c *labClient) replied(attempt int, effect gypsumrail.Effect) {
+	if effect.Kind == gypsumrail.Answer {
+		c.settled = true
+		c.lab.answered++
+		return
+	}
+	c.lab.told = append(c.lab.told, verdict{c.request, attempt, c.key != "", effect.Outcome})
+	if effect.Outcome == gypsumrail.Ran {
+		c.settled = true
+		return
+	}
+	c.lab.after(gypsumrail.Millis(c.lab.rng.IntN(300)), func() { c.again(attempt) })
+}
+
+// again resends unless the request is settled or a later attempt was sent.
+func (c *labClient) again(attempt int) {
+	if !c.settled && attempt == c.attempt && c.attempt < labAttemptsMax {
+		c.send()
+	}
+}
--- /dev/null
+++ b/core/lab_test.go
@@ -0,0 +1,454 @@
+package core_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/parts"
+)
+
+// lab runs a few nodes in virtual time with messages that are lost, late or
+// duplicated, nodes that pause or crash, and targets that fail. It observes
+// from outside what the targets ran and what the callers were told.
+type lab struct {
+	rng      *rand.Rand
+	now      gypsumrail.Millis
+	sequence int
+	agenda   agenda
+	nodes    []*labNode
+	records  *gypsumrail.Records
+	faults   faults
+	nextCall gypsumrail.CallID
+	runs     map[string]int // runs on any target by attempt identity of the observer
+	keyRuns  map[string]int // runs by idempotency key
+	retries  map[string]int // by user request
+	told     []verdict
+	answered int
+}
+
+// faults are probabilities of one fault in each message or run, and the slots of
+// a target, which are few if calls are to be refused for load.
+type faults struct {
+	loseRequest, loseAnswer, copyRequest, targetFail, callerGone, pause, crash float64
+	slots                                                                      int
+}
+
+// verdict is what a caller was told about one attempt of a user request.
+type verdict struct {
+	request string
+	attempt int
+	keyed   bool
+	outcome gypsumrail.Outcome
+}
+
+// identityOf names an attempt of a caller for the observer.
+func identityOf(request string, attempt int) string { return fmt.Sprintf("%s/%d", request, attempt) }
+
+type labNode struct {
+	index       int
+	self        gypsumrail.Instance
+	node        *core.Node
+	alive       bool
+	pausedUntil gypsumrail.Millis
+	calls       map[gypsumrail.CallID]*labCall
+}
+
+// labCall is a call at one node as the shell would hold it.
+type labCall struct {
+	request  string
+	service  string
+	identity string // request, key and attempt
+	key      string
+	reply    func(effect gypsumrail.Effect) // to the sender, the caller or the target
+	attempts map[int]*labAttempt
+	running  bool
+}
+
+type labAttempt struct {
+	to     *labNode
+	remote gypsumrail.CallID
+	closed bool
+}
+
+type agendaItem struct {
+	at       gypsumrail.Millis
+	sequence int
+	run      func()
+}
+
+type agenda []agendaItem
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].sequence < a[j].sequence
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(agendaItem)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// labServices is the chain of services that the lab runs.
+var labServices = []string{"front", "middle", "deep"}
+
+const (
+	labPerService = 2
+	labAllowance  = 3
+)
+
+func newLab(seed uint64, f faults) *lab {
+	l := &lab{
+		rng: rand.New(rand.NewPCG(seed, 1)), faults: f, runs: map[string]int{}, keyRuns: map[string]int{},
+		retries: map[string]int{}, records: labRecords(cmp.Or(f.slots, 8)),
+	}
+	for _, service := range labServices {
+		for i := range labPerService {
+			n := &labNode{index: len(l.nodes)}
+			n.self = gypsumrail.Instance{
+				Name: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: fmt.Sprintf("z%d", i),
+				Address: fmt.Sprintf("127.0.0.1:%d", 1000+len(l.nodes)),
+			}
+			l.nodes = append(l.nodes, n)
+		}
+	}
+	for _, n := range l.nodes {
+		l.boot(n)
+	}
+	return l
+}
+
+func labRecords(slots int) *gypsumrail.Records {
+	r := &gypsumrail.Records{
+		Revision: 1, Services: map[string]*gypsumrail.Service{}, Targets: map[string]*gypsumrail.Target{},
+		Classes: map[string]*gypsumrail.Class{
+			"Read":  {Name: "Read", Importance: 4, Deadline: 3000, Repeatable: true, Service: "front", Uses: labServices, Allowance: labAllowance},
+			"Order": {Name: "Order", Importance: 9, Deadline: 3000, Service: "front", Uses: labServices, Allowance: labAllowance},
+		},
+		Tenants: map[string]*gypsumrail.Tenant{},
+	}
+	for i, service := range labServices {
+		r.Services[service] = &gypsumrail.Service{Name: service, SlotsMax: slots, ConnsMax: 100, ZoneDelay: 1}
+		if i+1 < len(labServices) {
+			r.Services[service].Dependencies = []string{labServices[i+1]}
+		}
+		for j := range labPerService {
+			name := fmt.Sprintf("%s-%d", service, j)
+			r.Targets[name] = &gypsumrail.Target{Name: name, Service: service, Slots: slots, Conns: 100}
+		}
+	}
+	return r
+}
+
+// boot starts a node with a new incarnation and an empty memory.
+func (l *lab) boot(n *labNode) {
+	n.self.Incarnation = gypsumrail.Incarnation(l.now+1)<<20 + gypsumrail.Incarnation(n.index)
+	n.node = parts.NewNode(n.self, core.Settings{}, parts.Settings{})
+	n.alive = true
+	n.calls = map[gypsumrail.CallID]*labCall{}
+	list := make([]gypsumrail.Instance, 0, len(l.nodes))
+	for _, other := range l.nodes {
+		entry := other.self
+		entry.State = gypsumrail.Live
+		entry.Incarnation = 0
+		list = append(list, entry)
+	}
+	l.step(n, &gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: l.records, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1, Hash: 1}})
+	l.step(n, &gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: list, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1, Hash: 1}})
+	l.ticker(n, n.self.Incarnation)
+}
+
+func (l *lab) ticker(n *labNode, incarnation gypsumrail.Incarnation) {
+	l.after(40, func() {
+		if !n.alive || n.self.Incarnation != incarnation {
+			return
+		}
+		l.step(n, &gypsumrail.Event{Kind: gypsumrail.Tick})
+		l.ticker(n, incarnation)
+	})
+}
+
+func (l *lab) after(delay gypsumrail.Millis, run func()) {
+	l.sequence++
+	heap.Push(&l.agenda, agendaItem{l.now + delay, l.sequence, run})
+}
+
+func (l *lab) chance(p float64) bool { return l.rng.Float64() < p }
+
+func (l *lab) runUntil(end gypsumrail.Millis) {
+	for l.agenda.Len() > 0 && l.agenda[0].at <= end {
+		item := heap.Pop(&l.agenda).(agendaItem)
+		l.now = item.at
+		item.run()
+	}
+	l.now = end
+}
+
+// step gives a node an event, or holds it back while the node is paused.
+func (l *lab) step(n *labNode, event *gypsumrail.Event) {
+	if !n.alive {
+		return
+	}
+	if n.pausedUntil > l.now {
+		incarnation := n.self.Incarnation
+		l.after(n.pausedUntil-l.now, func() {
+			if n.self.Incarnation == incarnation {
+				l.step(n, event)
+			}
+		})
+		return
+	}
+	event.At = l.now
+	event.Random = l.rng.Uint64()
+	effects := slices.Clone(n.node.Step(event))
+	for i := range effects {
+		if effects[i].Report != nil {
+			report := *effects[i].Report
+			effects[i].Report = &report
+		}
+		effects[i].Hints = slices.Clone(effects[i].Hints)
+	}
+	for _, effect := range effects {
+		l.perform(n, effect)
+	}
+}
+
+func (l *lab) perform(n *labNode, effect gypsumrail.Effect) {
+	call := n.calls[effect.Call]
+	switch effect.Kind {
+	case gypsumrail.Forward:
+		l.forward(n, call, effect)
+	case gypsumrail.RunTarget:
+		l.runTarget(n, call, effect)
+	case gypsumrail.Answer:
+		l.answer(n, call, effect)
+	case gypsumrail.Refuse:
+		call.reply(effect)
+	case gypsumrail.CancelAttempt:
+		if attempt := call.attempts[effect.Attempt]; attempt != nil && !attempt.closed {
+			attempt.closed = true
+			l.after(1, func() { l.step(attempt.to, &gypsumrail.Event{Kind: gypsumrail.CallerGone, Call: attempt.remote}) })
+		}
+	case gypsumrail.CancelTarget:
+		if call.running {
+			call.running = false
+			l.after(1, func() {
+				l.step(n, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: effect.Call, Result: &gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonCallerGone}})
+			})
+		}
+	case gypsumrail.AskResolve:
+		l.askResolve(n, effect)
+	case gypsumrail.ResolveReply, gypsumrail.Tickets:
+		call.reply(effect)
+	}
+}
+
+func (l *lab) byName(name string) *labNode {
+	for _, n := range l.nodes {
+		if n.self.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// reachable tells whether a connection to a node can be opened: a paused
+// process still accepts connections in its kernel.
+func (l *lab) reachable(n *labNode) bool { return n.alive }
+
+func (l *lab) forward(n *labNode, call *labCall, effect gypsumrail.Effect) {
+	to := l.byName(effect.To.Name)
+	if effect.Attempt > 1 {
+		l.retries[call.request]++
+	}
+	l.nextCall++
+	attempt := &labAttempt{to: to, remote: l.nextCall}
+	call.attempts[effect.Attempt] = attempt
+	fail := func(outcome gypsumrail.Outcome, reason gypsumrail.Reason, delay gypsumrail.Millis) {
+		l.after(delay, func() {
+			if !attempt.closed {
+				attempt.closed = true
+				l.step(n, &gypsumrail.Event{Kind: gypsumrail.AttemptFailed, Call: effect.Call, Attempt: effect.Attempt, Result: &gypsumrail.Result{Outcome: outcome, Reason: reason}})
+			}
+		})
+	}
+	if !l.reachable(to) {
+		fail(gypsumrail.NotRun, gypsumrail.ReasonConnect, 1)
+		return
+	}
+	delay := gypsumrail.Millis(1 + l.rng.IntN(3))
+	if l.chance(l.faults.loseRequest) {
+		fail(gypsumrail.Unknown, gypsumrail.ReasonSilent, 250)
+		if l.chance(0.5) {
+			return
+		}
+		// The sender has given up, but the bytes arrive after all.
+		delay += gypsumrail.Millis(l.rng.IntN(2000))
+	}
+	incarnation := to.self.Incarnation
+	remote := &labCall{request: call.request, service: call.service, identity: call.identity, key: effect.Key, attempts: map[int]*labAttempt{}}
+	remote.reply = func(answer gypsumrail.Effect) {
+		l.after(gypsumrail.Millis(1+l.rng.IntN(3)), func() { l.deliver(n, effect, attempt, answer) })
+		if l.chance(l.faults.loseAnswer) {
+			fail(gypsumrail.Unknown, gypsumrail.ReasonBroken, 0)
+			attempt.closed = true
+		}
+	}
+	arrival := &gypsumrail.Arrival{
+		Origin: gypsumrail.FromPeer, Service: call.service, Class: classOf(call), Request: call.request, Attempt: 1,
+		Remaining: effect.Deadline - l.now, Key: effect.Key, HomeAttempt: effect.HomeAttempt, Importance: effect.Importance,
+		Allowance: effect.Allowance, Invested: effect.Invested, From: n.self.Name,
+	}
+	l.after(delay, func() {
+		if !to.alive || to.self.Incarnation != incarnation {
+			fail(gypsumrail.Unknown, gypsumrail.ReasonBroken, 1)
+			return
+		}
+		to.calls[attempt.remote] = remote
+		l.step(to, &gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: attempt.remote, Arrival: arrival})
+	})
+	if effect.Key != "" && l.chance(l.faults.copyRequest) {
+		l.copyRequest(to, remote, arrival, delay+gypsumrail.Millis(l.rng.IntN(3000)))
+	}
+	l.after(5000, func() { fail(gypsumrail.Unknown, gypsumrail.ReasonSilent, 0) })
+}
+
+// copyRequest delivers a second copy of a keyed attempt. Its answer goes nowhere.
+func (l *lab) copyRequest(to *labNode, first *labCall, arrival *gypsumrail.Arrival, delay gypsumrail.Millis) {
+	l.nextCall++
+	call := l.nextCall
+	second := *first
+	second.attempts = map[int]*labAttempt{}
+	second.reply = func(gypsumrail.Effect) {}
+	second.running = false
+	copied := *arrival
+	l.after(delay, func() {
+		if to.alive {
+			to.calls[call] = &second
+			l.step(to, &gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: call, Arrival: &copied})
+		}
+	})
+}
+
+func classOf(call *labCall) string {
+	if call.key != "" || call.identity[0] == 'o' {
+		return "Order"
+	}
+	return "Read"
+}
+
+// deliver gives the sender what the receiver answered.
+func (l *lab) deliver(n *labNode, sent gypsumrail.Effect, attempt *labAttempt, answer gypsumrail.Effect) {
+	if attempt.closed {
+		return
+	}
+	result := &gypsumrail.Result{Outcome: gypsumrail.Ran, Status: 200, AllowanceLeft: answer.Allowance, Report: answer.Report, Hints: answer.Hints}
+	if answer.Kind == gypsumrail.Refuse {
+		attempt.closed = true
+		result.Outcome, result.Reason, result.Status = answer.Outcome, answer.Reason, 503
+	}
+	l.step(n, &gypsumrail.Event{Kind: gypsumrail.AttemptAnswered, Call: sent.Call, Attempt: sent.Attempt, Result: result})
+}
+
+// answer passes an answer on: to the sender if the call came from a peer, else
+// to the caller. Both halves of a local call end here.
+func (l *lab) answer(n *labNode, call *labCall, effect gypsumrail.Effect) {
+	call.reply(effect)
+	if attempt := call.attempts[effect.Attempt]; attempt != nil {
+		attempt.closed = true
+	}
+	if effect.Attempt == 0 {
+		l.after(1, func() {
+			call.running = false
+			l.step(n, &gypsumrail.Event{Kind: gypsumrail.TargetDone, Call: effect.Call, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
+		})
+	}
+	l.after(1, func() {
+		l.step(n, &gypsumrail.Event{Kind: gypsumrail.AnswerDone, Call: effect.Call, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
+	})
+}
+
+func (l *lab) askResolve(n *labNode, effect gypsumrail.Effect) {
+	to := l.byName(effect.To.Name)
+	answer := func(result *gypsumrail.Result) {
+		l.after(1, func() {
+			l.step(n, &gypsumrail.Event{Kind: gypsumrail.Resolved, Call: effect.Call, Attempt: effect.Attempt, Result: result})
+		})
+	}
+	if !l.reachable(to) || l.chance(l.faults.loseRequest) {
+		answer(&gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonConnect})
+		return
+	}
+	l.nextCall++
+	to.calls[l.nextCall] = &labCall{reply: func(reply gypsumrail.Effect) {
+		if l.chance(l.faults.loseAnswer) {
+			answer(&gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonBroken})
+			return
+		}
+		answer(&gypsumrail.Result{Outcome: reply.Outcome, Reason: reply.Reason, Report: reply.Report})
+	}}
+	l.step(to, &gypsumrail.Event{Kind: gypsumrail.ResolveAsked, Call: l.nextCall, Key: effect.Key, HomeAttempt: effect.HomeAttempt})
+}
+
+// runTarget runs a call on the fake target, which calls the next service of the
+// chain and fails if that fails.
+func (l *lab) runTarget(n *labNode, call *labCall, effect gypsumrail.Effect) {
+	if len(call.attempts) > 0 {
+		l.retries[call.request]++
+	}
+	call.running = true
+	l.runs[call.identity+"@"+call.service]++
+	if effect.Key != "" {
+		l.keyRuns[effect.Key]++
+	}
+	incarnation := n.self.Incarnation
+	end := func(kind gypsumrail.EventKind, result *gypsumrail.Result) {
+		if call.running && n.self.Incarnation == incarnation {
+			if kind == gypsumrail.TargetFailed {
+				call.running = false
+			}
+			l.step(n, &gypsumrail.Event{Kind: kind, Call: effect.Call, Result: result})
+		}
+	}
+	work := gypsumrail.Millis(1 + l.rng.IntN(40))
+	if l.chance(l.faults.targetFail) {
+		l.after(work, func() {
+			end(gypsumrail.TargetFailed, &gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonTargetFailed})
+		})
+		return
+	}
+	ok := func(status int) {
+		end(gypsumrail.TargetAnswered, &gypsumrail.Result{Outcome: gypsumrail.Ran, Status: status})
+	}
+	next := n.index/labPerService + 1
+	if next >= len(labServices) {
+		l.after(work, func() { ok(200) })
+		return
+	}
+	l.after(work, func() {
+		if !call.running || n.self.Incarnation != incarnation {
+			return
+		}
+		l.nextCall++
+		child := &labCall{
+			request: call.request, service: labServices[next], identity: call.identity, attempts: map[int]*labAttempt{},
+			reply: func(reply gypsumrail.Effect) {
+				if reply.Kind == gypsumrail.Refuse {
+					ok(500)
+					return
+				}
+				ok(200)
+			},
+		}
+		n.calls[l.nextCall] = child
+		l.step(n, &gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: l.nextCall, Arrival: &gypsumrail.Arrival{
+			Origin: gypsumrail.FromTarget, Service: child.service, Request: "ignored", Parent: effect.Call, Attempt: 1,
+		}})
+	})
+}
--- /dev/null
+++ b/parts/parts.go
@@ -0,0 +1,64 @@
+// Package parts puts the decision parts of a node together, so that the node,
+// the replay of traces and the tests all run the same ones.
+package parts
+
+import (
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/ledger"
+	"github.com/gypsumrail/gypsumrail/limit"
+	"github.com/gypsumrail/gypsumrail/member"
+	"github.com/gypsumrail/gypsumrail/queue"
+	"github.com/gypsumrail/gypsumrail/retry"
+	"github.com/gypsumrail/gypsumrail/revise"
+	"github.com/gypsumrail/gypsumrail/route"
+	"github.com/gypsumrail/gypsumrail/shed"
+)
+
+// Settings are the constants of all parts. Zero values take the defaults.
+type Settings struct {
+	Limit  limit.Settings
+	Queue  queue.Settings
+	Shed   shed.Settings
+	Route  route.Settings
+	Retry  retry.Settings
+	Ledger ledger.Settings
+	Member member.Settings
+	Revise revise.Settings
+}
+
+// New returns the parts of the node of one instance.
+func New(self gypsumrail.Instance, settings Settings) core.Parts {
+	return core.Parts{
+		Limiter:   limit.New(settings.Limit),
+		Queue:     queue.New(settings.Queue),
+		Shedder:   shed.New(settings.Shed),
+		Router:    route.New(self, settings.Route),
+		Budget:    retry.New(settings.Retry),
+		Ledger:    ledger.New(self, settings.Ledger),
+		Directory: member.New(self, settings.Member),
+		Values:    revise.New(settings.Revise),
+	}
+}
+
+// NewNode returns a node whose router takes the values of each service from the
+// records in force.
+func NewNode(self gypsumrail.Instance, node core.Settings, settings Settings) *core.Node {
+	var n *core.Node
+	if settings.Route.Tuning == nil {
+		settings.Route.Tuning = func(service string) route.Tuning { return tuning(n, service) }
+	}
+	n = core.New(node, New(self, settings))
+	return n
+}
+
+func tuning(n *core.Node, name string) route.Tuning {
+	if n == nil || n.Records() == nil {
+		return route.Tuning{}
+	}
+	service := n.Records().Services[name]
+	if service == nil {
+		return route.Tuning{}
+	}
+	return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
+}
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -30,6 +30,7 @@
 		{"replay", "replay traces and check their stated outcomes", runReplay},
 		{"status", "show what a node holds in force and why", runStatus},
 		{"record", "record the events of a node as a trace", runRecord},
+		{"slopes", "measure how costs grow with the size of the fleet", runSlopes},
 		{"version", "print the version", runVersion},
 		{"help", "print this list", runHelp},
 	}
