--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,8 +7,8 @@
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/ledger"
+	"github.com/gypsumrail/gypsumrail/limit"
 	"github.com/gypsumrail/gypsumrail/member"
-	"github.com/gypsumrail/gypsumrail/plain"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/retry"
 	"github.com/gypsumrail/gypsumrail/revise"
@@ -26,9 +26,6 @@
 	unbounded                                                 bool // no limit but the target's own
 }
 
-// unboundedLimit is above the calls that a node can hold.
-const unboundedLimit = 1 << 20
-
 // All returns all policies in the order of the report.
 func All() []Policy {
 	perHop := core.Settings{Retry: core.RetryPerHop}
@@ -62,17 +59,20 @@
 		slots = target.Slots
 	}
 	parts := core.Parts{
-		Limiter:   plain.Limit(slots),
+		Limiter:   limit.NewStatic(slots),
 		Queue:     queue.NewFIFO(queue.Settings{}),
 		Shedder:   shed.None{},
 		Router:    route.NewRoundRobin(),
-		Budget:    plain.Unlimited{},
+		Budget:    unlimited{},
 		Ledger:    ledger.New(self, ledger.Settings{}),
 		Directory: member.New(self, member.Settings{}),
 		Values:    revise.New(revise.Settings{}),
 	}
 	if p.unbounded {
-		parts.Limiter = plain.Limit(unboundedLimit)
+		parts.Limiter = limit.Unlimited{}
+	}
+	if !p.plainLimit {
+		parts.Limiter = limit.New(limit.Settings{})
 	}
 	if !p.plainQueue {
 		parts.Queue = queue.New(queue.Settings{})
