Let the limit reopen sooner and confirm by raises

A target that was weak for its first 3 s was fully open only 3 s later.

- A raise under which the throughput grew with the limit confirms the limit, so no probe downwards follows.
- A probe upwards needs 0.4 of the samples: a wrong raise is noticed because calls become slower, and costs no throughput.
- After a cut the first probe is upwards, because the target may have recovered while the probe downwards ran.

Two scenarios with 16 slots join the test. Broken on purpose and seen to fail: no confirmation by a raise, the late raise after a cut. Three mutations survived: every raise confirms, raises need all samples, the pause after a raise.

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -19,6 +19,9 @@
 	cutBelow = 0.85
 	// raiseAbove is the ratio of knee to limit from which a probe upwards counts as a gain.
 	raiseAbove = 1.25
+	// raiseSamples is the part of the samples that a probe upwards needs. A wrong
+	// raise is noticed because calls become slower, and costs no throughput.
+	raiseSamples = 0.4
 	// slowerAbove is the ratio of the time per call to the confirmed one from
 	// which the limit is doubted.
 	slowerAbove = 1.3
@@ -130,8 +133,11 @@
 func (a *Adaptive) Completed(now gypsumrail.Millis, sample gypsumrail.Sample) {
 	a.window.add(now, sample)
 	samples := a.settings.Samples
-	if a.restore > a.limit {
+	switch {
+	case a.restore > a.limit:
 		samples = 1
+	case a.phase == probingUp:
+		samples = max(1, int(raiseSamples*float64(samples)))
 	}
 	if !a.window.complete(now, a.settings.Window, samples) {
 		return
@@ -213,10 +219,11 @@
 func (a *Adaptive) endDown(now gypsumrail.Millis, m measurement) {
 	knee := a.before.rate * m.inFlight / m.rate
 	if target := math.Ceil(headroom * knee); target < cutBelow*float64(a.base) {
-		// The limit of the probe may still be above the knee, so the next probe follows at once.
+		// The limit of the probe may still be above the knee, so the next probe downwards follows soon.
 		a.set(max(a.limit, int(target)))
 		a.confirmed, a.cutAt, a.cutWait = 0, now, cutWaitMin
-		a.raiseAt = now + a.raiseWait
+		// The target may have recovered meanwhile, and a probe upwards is cheap.
+		a.raiseAt, a.raiseWait = now, raiseWaitMin
 		return
 	}
 	// The smoothed time may still lag behind a target that just became slower.
@@ -231,8 +238,15 @@
 		a.refuseRaise(now)
 		return
 	}
+	reached := knee >= cutBelow*float64(a.limit)
 	a.set(min(a.limit, int(math.Ceil(headroom*knee))))
 	a.raiseAt, a.raiseWait = now, raiseWaitMin
+	// If the throughput grew with the limit, no probe downwards has to show it
+	// again. Otherwise the next one is due as soon as calls become slower.
+	a.cutAt, a.cutWait = now, cutWaitMin
+	if reached {
+		a.confirmed = m.self
+	}
 }
 
 func (a *Adaptive) refuseRaise(now gypsumrail.Millis) {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -21,16 +21,19 @@
 var (
 	none      = always(0)
 	scenarios = []scenario{
-		{"healthy", always(64), always(20), none, none, 2000, 15000, 0.95, 64},
-		{"slower per call", always(64), during(5000, 15000, 80, 20), none, none, 5000, 15000, 0.92, 64},
-		{"slow dependency", always(64), always(20), during(5000, 15000, 60, 0), none, 5000, 15000, 0.95, 64},
-		{"less capacity than stated", always(16), always(20), none, none, 5000, 15000, 0.95, 22},
-		{"capacity lost", during(5000, 15000, 16, 64), always(20), none, none, 7000, 15000, 0.92, 26},
-		{"capacity returned", during(3000, 8000, 16, 64), always(20), none, none, 10000, 15000, 0.92, 64},
-		{"slow cold start", always(64), during(0, 3000, 100, 20), none, none, 3000, 15000, 0.92, 64},
-		{"weak cold start", during(0, 3000, 8, 64), always(20), none, none, 5000, 15000, 0.92, 64},
-		{"refuses above its slots", always(64), always(20), none, always(24), 2000, 15000, 0.95, 30},
-		{"refused everything", always(64), always(20), none, during(1000, 4000, 0.5, 0), 6000, 15000, 0.92, 64},
+		{"healthy", always(64), always(20), none, none, 2000, 15000, 0.95, 64, 64},
+		{"slower per call", always(64), during(5000, 15000, 80, 20), none, none, 5000, 15000, 0.92, 64, 64},
+		{"slow dependency", always(64), always(20), during(5000, 15000, 60, 0), none, 5000, 15000, 0.95, 64, 64},
+		{"less capacity than stated", always(16), always(20), none, none, 5000, 15000, 0.95, 22, 64},
+		{"capacity lost", during(5000, 15000, 16, 64), always(20), none, none, 7000, 15000, 0.92, 26, 64},
+		{"capacity returned", during(3000, 8000, 16, 64), always(20), none, none, 10000, 15000, 0.92, 64, 64},
+		{"slow cold start", always(64), during(0, 3000, 100, 20), none, none, 3000, 15000, 0.92, 64, 64},
+		{"weak cold start", during(0, 3000, 8, 64), always(20), none, none, 5000, 15000, 0.92, 64, 64},
+		{"refuses above its slots", always(64), always(20), none, always(24), 2000, 15000, 0.95, 30, 64},
+		{"refused everything", always(64), always(20), none, during(1000, 4000, 0.5, 0), 6000, 15000, 0.92, 64, 64},
+		// Few calls per second: windows are long, so each needless probe costs more.
+		{"small target", always(16), always(60), none, none, 2000, 15000, 0.94, 16, 16},
+		{"small capacity returned", during(3000, 8000, 4, 16), always(60), none, none, 10000, 15000, 0.95, 16, 16},
 	}
 )
 
@@ -55,7 +58,7 @@
 		for i, limiter := range []func() gypsumrail.Limiter{
 			func() gypsumrail.Limiter { return New(Settings{}) },
 			func() gypsumrail.Limiter { return &gradient{} },
-			func() gypsumrail.Limiter { return NewStatic(modelCeiling) },
+			func() gypsumrail.Limiter { return NewStatic(s.ceiling) },
 		} {
 			mean := average(s, limiter)
 			total[i].goodput += mean.goodput
--- a/limit/model_test.go
+++ b/limit/model_test.go
@@ -19,10 +19,9 @@
 	from, to          gypsumrail.Millis                   // span of the stated outcome
 	goodput           float64                             // least mean over the seeds
 	limitMax          float64                             // largest mean limit in the span
+	ceiling           int                                 // that the records state
 }
 
-const modelCeiling = 64
-
 func always(v float64) func(gypsumrail.Millis) float64 {
 	return func(gypsumrail.Millis) float64 { return v }
 }
@@ -58,7 +57,7 @@
 // simulate keeps as many calls on the target as the limit allows.
 func simulate(limiter gypsumrail.Limiter, s scenario, seed uint64) outcome {
 	random := rand.New(rand.NewPCG(seed, 7))
-	limiter.SetCeiling(modelCeiling)
+	limiter.SetCeiling(s.ceiling)
 	computing := btree.NewG(16, finishesBefore)
 	waiting := btree.NewG(16, finishesBefore)
 	var out outcome
@@ -90,7 +89,7 @@
 			computing.ReplaceOrInsert(running{finish: progress + random.ExpFloat64(), started: now, inFlight: inFlight, id: id})
 		}
 		if now >= s.from {
-			ceiling := float64(modelCeiling)
+			ceiling := float64(s.ceiling)
 			if slots > 0 {
 				ceiling = slots
 			}
