Open the limit of small and cold targets

Cause: a target of 18 slots with runs of half a second completes ten calls a second. A measurement ended after a second with what it had, 20 samples were needed to act on it, so the limit stayed at a quarter of the ceiling for ever. Now a measurement goes on until it has 20 samples, and a cold target doubles to half of its ceiling without comparison before a probe confirms the rest.

Ruled out: comparing by self time, and opening to the whole ceiling at once (docs/experiments.md).

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -91,6 +91,9 @@
 	a.ceiling = ceiling
 	a.limit = max(1, int(math.Ceil(float64(ceiling)*a.settings.Initial)))
 	a.base = a.limit
+	// Nothing is known against half of the ceiling, so a cold target opens up to it
+	// like one that recovered. The other half follows by a probe, which confirms it.
+	a.restore = ceiling / probeFactor
 }
 
 // Limit returns the number of calls that may run at once, from 1 to the ceiling.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -33,6 +33,7 @@
 		{"refused everything", always(64), always(20), none, during(1000, 4000, 0.5, 0), 6000, 15000, 0.92, 64, 64},
 		// Few calls per second: windows are long, so each needless probe costs more.
 		{"small target", always(16), always(60), none, none, 2000, 15000, 0.94, 16, 16},
+		{"small slow target", always(18), always(450), none, none, 6000, 15000, 0.92, 18, 18},
 		{"small capacity returned", during(3000, 8000, 4, 16), always(60), none, none, 10000, 15000, 0.95, 16, 16},
 	}
 )
--- a/limit/window.go
+++ b/limit/window.go
@@ -42,10 +42,11 @@
 }
 
 // complete tells whether the window is long enough and holds enough samples, or
-// is so long that it must do with what it has.
+// is so long that it must do with fewer. A window with less than samplesMin
+// goes on: a target with few slots completes too few calls in any fixed span.
 func (w *window) complete(now, least gypsumrail.Millis, samples int) bool {
 	span, have := now-w.start, w.good+w.bad
-	return span >= least && (have >= samples || have > 0 && span >= longWindows*least)
+	return span >= least && (have >= samples || have >= samplesMin && span >= longWindows*least)
 }
 
 // measure ends the window. It must hold at least one sample.
