Assemble a node with fx and add the verb node

Package build is the only place that knows all implementations. The verb checks all settings before anything is opened and names each fault with its flag, its variable and what is accepted. The first SIGTERM or SIGINT drains the node; a second one ends it at once with exit code 1.

The limit is a fixed one of package plain until package limit is in, and nothing is metered until package meter is in.

--- /dev/null
+++ b/build/node.go
@@ -0,0 +1,215 @@
+package build
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/ledger"
+	"github.com/gypsumrail/gypsumrail/member"
+	"github.com/gypsumrail/gypsumrail/notice"
+	"github.com/gypsumrail/gypsumrail/plain"
+	"github.com/gypsumrail/gypsumrail/queue"
+	"github.com/gypsumrail/gypsumrail/record"
+	"github.com/gypsumrail/gypsumrail/retry"
+	"github.com/gypsumrail/gypsumrail/revise"
+	"github.com/gypsumrail/gypsumrail/route"
+	"github.com/gypsumrail/gypsumrail/shed"
+	"github.com/gypsumrail/gypsumrail/shell"
+)
+
+// Node is an assembled node. It is safe for concurrent use.
+type Node struct {
+	app   *fx.App
+	shell *shell.Shell
+	ended chan struct{} // closed when the shell has ended
+	err   error         // of the shell; read after ended
+}
+
+// New assembles a node and opens its ports. They serve from Run on.
+func New(ctx context.Context, settings Settings) (*Node, error) {
+	n := &Node{ended: make(chan struct{})}
+	n.app = fx.New(
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.Provide(
+			newClock, newSelf, newListeners, newLogger,
+			newLimiter, newQueue, newShedder, newBudget, newLedger, newDirectory, newValues,
+			newRecords, newRouter, newReducer, newParts, newShell,
+		),
+		fx.Populate(&n.shell),
+		fx.Invoke(n.run),
+		fx.Supply(fx.Annotate(ctx, fx.As(new(context.Context)))),
+	)
+	if err := n.app.Err(); err != nil {
+		// The chain of constructors that led to the fault says nothing to an operator.
+		return nil, fmt.Errorf("assemble the node: %w", dig.RootCause(err))
+	}
+	return n, nil
+}
+
+// run lets the shell start and end with the application.
+func (n *Node) run(life fx.Lifecycle, s *shell.Shell) {
+	ctx, cancel := context.WithCancel(context.Background())
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(n.ended)
+				n.err = s.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-n.ended:
+				return nil
+			case <-stop.Done():
+				return fmt.Errorf("stop the node: %w", stop.Err())
+			}
+		},
+	})
+}
+
+// Run serves until the node has drained or ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.app.Start(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("start the node: %w", err)
+	}
+	select {
+	case <-n.ended:
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), n.app.StopTimeout())
+	defer cancel()
+	if err := n.app.Stop(stop); err != nil {
+		return fmt.Errorf("stop the node: %w", err)
+	}
+	return n.err
+}
+
+// Drain starts a graceful shutdown, after which Run returns.
+func (n *Node) Drain() { n.shell.Drain() }
+
+// Exiting logs that the process is about to end at once.
+func (n *Node) Exiting() { n.shell.Exiting() }
+
+// clock counts from the start of the process.
+type clock struct{ start time.Time }
+
+func (c clock) Now() gypsumrail.Millis { return gypsumrail.MillisOf(time.Since(c.start)) }
+
+func newClock() gypsumrail.Clock { return clock{time.Now()} }
+
+// incarnationBits is the random part of an incarnation, which tells two starts
+// within one millisecond apart.
+const incarnationBits = 20
+
+func newSelf(settings Settings) gypsumrail.Instance {
+	var random [4]byte
+	_, _ = rand.Read(random[:]) // never fails
+	self := settings.Self
+	low := uint64(binary.BigEndian.Uint32(random[:])) & (1<<incarnationBits - 1)
+	self.Incarnation = gypsumrail.Incarnation(uint64(time.Now().UnixMilli())<<incarnationBits | low)
+	self.Version = 1
+	self.State = gypsumrail.Live
+	return self
+}
+
+func newListeners(ctx context.Context, settings Settings) (*shell.Listeners, error) {
+	return shell.Listen(ctx, settings.Listen) //nolint:wrapcheck // the error names the port
+}
+
+func newLogger(settings Settings, clock gypsumrail.Clock) shell.Logger {
+	return notice.New(settings.Log, clock, notice.Settings{
+		Node: settings.Self.Name, Level: settings.LogLevel, Formatter: settings.LogFormat,
+	})
+}
+
+// limitMax is the limit until package limit learns one.
+const limitMax = 64
+
+func newLimiter() gypsumrail.Limiter { return plain.Limit(limitMax) }
+func newQueue() gypsumrail.Queue     { return queue.New(queue.Settings{}) }
+func newShedder() gypsumrail.Shedder { return shed.New(shed.Settings{}) }
+func newBudget() gypsumrail.Budget   { return retry.New(retry.Settings{}) }
+func newValues() gypsumrail.Values   { return revise.New(revise.Settings{}) }
+
+func newLedger(self gypsumrail.Instance) gypsumrail.Ledger {
+	return ledger.New(self, ledger.Settings{})
+}
+
+func newDirectory(self gypsumrail.Instance) gypsumrail.Directory {
+	return member.New(self, member.Settings{})
+}
+
+// inForce is where the router finds the records in force, of which the reducer
+// tells it only the upstreams. The reducer sets it up after the router.
+type inForce struct{ records func() *gypsumrail.Records }
+
+func newRecords() *inForce { return &inForce{} }
+
+func newRouter(self gypsumrail.Instance, force *inForce) gypsumrail.Router {
+	return route.New(self, route.Settings{Tuning: func(name string) route.Tuning {
+		if force.records == nil || force.records() == nil {
+			return route.Tuning{}
+		}
+		service := force.records().Services[name]
+		if service == nil {
+			return route.Tuning{}
+		}
+		return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
+	}})
+}
+
+type decisions struct {
+	fx.In
+
+	Limiter   gypsumrail.Limiter
+	Queue     gypsumrail.Queue
+	Shedder   gypsumrail.Shedder
+	Router    gypsumrail.Router
+	Budget    gypsumrail.Budget
+	Ledger    gypsumrail.Ledger
+	Directory gypsumrail.Directory
+	Values    gypsumrail.Values
+}
+
+func newReducer(d decisions, force *inForce) *core.Node {
+	node := core.New(core.Settings{}, core.Parts{
+		Limiter: d.Limiter, Queue: d.Queue, Shedder: d.Shedder, Router: d.Router,
+		Budget: d.Budget, Ledger: d.Ledger, Directory: d.Directory, Values: d.Values,
+	})
+	force.records = node.Records
+	return node
+}
+
+func newParts(settings Settings, node *core.Node, logger shell.Logger, clock gypsumrail.Clock) shell.Parts {
+	return shell.Parts{
+		Reducer: node,
+		Status:  func() any { return node.Status() },
+		Records: func(content []byte) (*gypsumrail.Records, error) {
+			return record.Parse(string(gypsumrail.ValueRecords), content, record.Options{SchemaMax: settings.SchemaMax})
+		},
+		Logger: logger, Meter: noMeter{}, Clock: clock,
+	}
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Ended(shell.End)                             {}
+func (noMeter) Stepped(gypsumrail.EventKind, time.Duration) {}
+
+func newShell(settings Settings, self gypsumrail.Instance, parts shell.Parts, listeners *shell.Listeners) *shell.Shell {
+	return shell.New(shell.Settings{
+		Self: self, Target: settings.Target, Platform: settings.Platform, Seeds: settings.Seeds,
+	}, parts, listeners)
+}
--- /dev/null
+++ b/build/node_test.go
@@ -0,0 +1,55 @@
+package build
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/shell"
+)
+
+func settings() Settings {
+	const free = "127.0.0.1:0"
+	return Settings{
+		Self:   gypsumrail.Instance{Name: "n", Service: "s", Zone: "z", Address: "127.0.0.1:1"},
+		Listen: shell.Addresses{Callers: free, Egress: free, Peers: free, Admin: free},
+		Target: "127.0.0.1:1", Platform: "127.0.0.1:1", Log: io.Discard,
+	}
+}
+
+// Guards against a node that cannot be assembled or does not end, and against
+// two starts with one incarnation.
+func TestRun(t *testing.T) {
+	n, err := New(t.Context(), settings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := n.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	first, second := newSelf(settings()), newSelf(settings())
+	if first.Incarnation == second.Incarnation || first.Incarnation == 0 || first.State != gypsumrail.Live {
+		t.Errorf("two starts gave %+v and %+v", first, second)
+	}
+}
+
+// Guards against a fault that does not name the port, and against ports that
+// stay open when a node could not be assembled.
+func TestPortInUse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	s := settings()
+	s.Listen.Admin = l.Addr().String()
+	_, err = New(t.Context(), s)
+	if err == nil || !strings.HasPrefix(err.Error(), "assemble the node: admin port: listen tcp "+s.Listen.Admin) {
+		t.Errorf("a port in use gives %v", err)
+	}
+}
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -27,6 +27,7 @@
 	return []verb{
 		{"check", "check record sets and report all faults", runCheck},
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
+		{"node", "run the node beside one target", runNode},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
 		{"version", "print the version", runVersion},
 		{"help", "print this list", runHelp},
--- /dev/null
+++ b/verbs/node.go
@@ -0,0 +1,199 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/build"
+	"github.com/gypsumrail/gypsumrail/record"
+	"github.com/gypsumrail/gypsumrail/shell"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// nodeArgs are the arguments of node.
+type nodeArgs struct {
+	Name      string `arg:"--name,env:GYPSUMRAIL_NAME" placeholder:"NAME" help:"name of the instance, as in the records (required)"`
+	Service   string `arg:"--service,env:GYPSUMRAIL_SERVICE" placeholder:"NAME" help:"service of the own target (required)"`
+	Zone      string `arg:"--zone,env:GYPSUMRAIL_ZONE" placeholder:"NAME" help:"availability zone (required)"`
+	Target    string `arg:"--target,env:GYPSUMRAIL_TARGET" placeholder:"ADDRESS" help:"IP address and port of the own target (required)"`
+	Platform  string `arg:"--platform,env:GYPSUMRAIL_PLATFORM" placeholder:"ADDRESS" help:"IP address and port of the platform (required)"`
+	Callers   string `arg:"--callers,env:GYPSUMRAIL_CALLERS" placeholder:"ADDRESS" help:"port for external callers [default: 0.0.0.0:7000]"`
+	Egress    string `arg:"--egress,env:GYPSUMRAIL_EGRESS" placeholder:"ADDRESS" help:"port for outgoing calls of the own target, on loopback [default: 127.0.0.1:7001]"`
+	Peers     string `arg:"--peers,env:GYPSUMRAIL_PEERS" placeholder:"ADDRESS" help:"port for other nodes [default: 0.0.0.0:7002]"`
+	Admin     string `arg:"--admin,env:GYPSUMRAIL_ADMIN" placeholder:"ADDRESS" help:"port for operators [default: 127.0.0.1:7003]"`
+	Advertise string `arg:"--advertise,env:GYPSUMRAIL_ADVERTISE" placeholder:"ADDRESS" help:"address of the peers port as other nodes reach it [default: that of --peers]"`
+	Seeds     string `arg:"--seeds,env:GYPSUMRAIL_SEEDS" placeholder:"ADDRESSES" help:"peers ports of up to 16 other nodes, separated by commas, of which three are asked at the start"`
+	SchemaMax string `arg:"--schema-max,env:GYPSUMRAIL_SCHEMA_MAX" placeholder:"N" help:"highest schema version of records to use, 1 or 2 [default: 2]"`
+	LogLevel  string `arg:"--log-level,env:GYPSUMRAIL_LOG_LEVEL" placeholder:"LEVEL" help:"debug, info, warn or error [default: info]"`
+	LogFormat string `arg:"--log-format,env:GYPSUMRAIL_LOG_FORMAT" placeholder:"FORMAT" help:"text, logfmt or json [default: logfmt]"`
+}
+
+// Description returns the first line of the help text.
+func (nodeArgs) Description() string {
+	return "Runs the node beside one target. SIGTERM or SIGINT drains it: new calls are refused as not\n" +
+		"run, calls in flight are finished. A second signal ends it at once, with exit code 1."
+}
+
+// seedsMax bounds the list of peers; only three of them are asked.
+const seedsMax = 16
+
+func runNode(args []string, out, errOut io.Writer) int {
+	var settings nodeArgs
+	if code, ok := parseArgs("node", &settings, args, out, errOut); !ok {
+		return code
+	}
+	plan, wrong := buildNode(settings, errOut)
+	if len(wrong) > 0 {
+		return wrong.write("node", errOut)
+	}
+	return serveNode(plan, errOut)
+}
+
+// buildNode checks the settings of a node.
+func buildNode(a nodeArgs, errOut io.Writer) (build.Settings, problems) {
+	var wrong problems
+	s := build.Settings{
+		Self: gypsumrail.Instance{
+			Name:    wrong.name("--name", a.Name),
+			Service: wrong.name("--service", a.Service),
+			Zone:    wrong.name("--zone", a.Zone),
+		},
+		Listen: shell.Addresses{
+			Callers: wrong.port("--callers", a.Callers, "0.0.0.0:7000"),
+			Egress:  wrong.port("--egress", a.Egress, "127.0.0.1:7001"),
+			Peers:   wrong.port("--peers", a.Peers, "0.0.0.0:7002"),
+			Admin:   wrong.port("--admin", a.Admin, "127.0.0.1:7003"),
+		},
+		Target:    wrong.reachable("--target", a.Target),
+		Platform:  wrong.reachable("--platform", a.Platform),
+		Seeds:     wrong.seeds("--seeds", a.Seeds),
+		SchemaMax: wrong.whole("--schema-max", a.SchemaMax, 1, record.SchemaMax, record.SchemaMax),
+		LogLevel:  choose(&wrong, "--log-level", a.LogLevel, "info", levels),
+		LogFormat: choose(&wrong, "--log-format", a.LogFormat, "logfmt", formats),
+		Log:       errOut,
+	}
+	if egress, err := netip.ParseAddrPort(s.Listen.Egress); err == nil && !egress.Addr().IsLoopback() {
+		wrong.add("--egress", fmt.Sprintf("%q is not on a loopback address", s.Listen.Egress))
+	}
+	s.Self.Address = a.Advertise
+	if a.Advertise == "" {
+		s.Self.Address = s.Listen.Peers
+	}
+	if address, err := netip.ParseAddrPort(s.Self.Address); err != nil || address.Addr().IsUnspecified() || address.Port() == 0 {
+		wrong.add("--advertise", fmt.Sprintf("%q is not an IP address and port that others can reach", s.Self.Address))
+	}
+	return s, wrong
+}
+
+func (p *problems) name(flag, text string) string {
+	if !wire.ValidName(text) {
+		p.add(flag, fmt.Sprintf("%q is not a name of 1 to 64 letters, digits, '.', '_' or '-'", text))
+	}
+	return text
+}
+
+// port reads an address to listen on.
+func (p *problems) port(flag, text, fallback string) string {
+	if text == "" {
+		return fallback
+	}
+	if !wire.ValidAddress(text) {
+		p.add(flag, fmt.Sprintf("%q is not an IP address and port", text))
+	}
+	return text
+}
+
+// reachable reads an address to connect to.
+func (p *problems) reachable(flag, text string) string {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !wire.ValidAddress(text) || address.Addr().IsUnspecified() {
+		p.add(flag, fmt.Sprintf("%q is not an IP address and port to connect to", text))
+	}
+	return text
+}
+
+func (p *problems) seeds(flag, text string) []string {
+	if text == "" {
+		return nil
+	}
+	seeds := strings.Split(text, ",")
+	if len(seeds) > seedsMax {
+		p.add(flag, fmt.Sprintf("%d addresses are more than %d", len(seeds), seedsMax))
+		return nil
+	}
+	for _, seed := range seeds {
+		p.reachable(flag, seed)
+	}
+	return seeds
+}
+
+// choice is one of the accepted texts of a setting and what it stands for.
+type choice[T any] struct {
+	text  string
+	value T
+}
+
+var levels = []choice[log.Level]{
+	{"debug", log.DebugLevel}, {"info", log.InfoLevel}, {"warn", log.WarnLevel}, {"error", log.ErrorLevel},
+}
+
+var formats = []choice[log.Formatter]{
+	{"text", log.TextFormatter}, {"logfmt", log.LogfmtFormatter}, {"json", log.JSONFormatter},
+}
+
+func choose[T any](p *problems, flag, text, fallback string, choices []choice[T]) T {
+	if text == "" {
+		text = fallback
+	}
+	var accepted []string
+	for _, c := range choices {
+		if c.text == text {
+			return c.value
+		}
+		accepted = append(accepted, c.text)
+	}
+	p.add(flag, fmt.Sprintf("%q is not one of %s", text, strings.Join(accepted, ", ")))
+	var none T
+	return none
+}
+
+// serveNode runs a node until it has drained.
+func serveNode(settings build.Settings, errOut io.Writer) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	node, err := build.New(context.Background(), settings)
+	if err != nil {
+		fmt.Fprintf(errOut, "gypsumrail node: %v\n", err)
+		return ExitBadInput
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(context.Background()) }()
+	draining := false
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				fmt.Fprintf(errOut, "gypsumrail node: %v\n", err)
+				return ExitNotMet
+			}
+			return ExitOK
+		case <-signals:
+			if draining {
+				node.Exiting()
+				return ExitNotMet
+			}
+			draining = true
+			node.Drain()
+		}
+	}
+}
