Test real node processes (proc)

Six nodes in 3 services and 2 zones, built with go build: a request three deep, an order that runs once at each depth and whose resend gets the kept answer, a publication in force everywhere, a node killed and one drained under load with exit code 0 and no failed call. The test waits for states and asserts no times.

Ports are given out in sequence.

--- /dev/null
+++ b/proc/fleet_test.go
@@ -0,0 +1,318 @@
+package proc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/stubs"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// patience bounds each wait. It is generous, because the tests assert what
+// happens and not how fast.
+const patience = 60 * time.Second
+
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+
+// build builds the program once for a test.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "gypsumrail")
+	command := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../cmd/gypsumrail")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, output)
+	}
+	return program
+}
+
+// lastPort is the port that was given out last. Ports are below the range from
+// which the kernel takes those of outgoing connections, so that none of them
+// takes a port before its node opens it.
+var lastPort = 10000 + rand.IntN(10000)
+
+// port returns a free loopback address that was not given out before.
+func port(t *testing.T) string {
+	t.Helper()
+	for range 1000 {
+		lastPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// instance is one node process with its target.
+type instance struct {
+	name, service, zone           string
+	callers, egress, peers, admin string
+	target                        *stubs.Target
+	process                       *exec.Cmd
+	output                        *bytes.Buffer // of the process; read after exit
+	exited                        chan error
+}
+
+// fleet is the nodes, targets and platform of one test.
+type fleet struct {
+	t         *testing.T
+	program   string
+	platform  *stubs.Platform
+	instances []*instance
+}
+
+var services = []string{"front", "middle", "deep"}
+
+// newFleet starts 3 services in 2 zones and waits until all nodes know each other.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, program: build(t)}
+	var err error
+	if f.platform, err = stubs.NewPlatform(""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.platform.Close)
+	for i, service := range services {
+		for _, zone := range []string{"a", "b"} {
+			f.instances = append(f.instances, f.prepare(service, zone, services[i+1:min(i+2, len(services))]))
+		}
+	}
+	f.publish(3)
+	f.publishList()
+	for _, i := range f.instances {
+		f.start(i)
+	}
+	for _, i := range f.instances {
+		f.await(i.name+" to be ready and to have a route to all instances", func() bool {
+			s, ok := f.status(i)
+			return ok && s.Shell.Ready && s.usable() == len(f.instances)
+		})
+	}
+	return f
+}
+
+func (f *fleet) prepare(service, zone string, calls []string) *instance {
+	i := &instance{
+		name: service + "-" + zone, service: service, zone: zone,
+		callers: port(f.t), egress: port(f.t), peers: port(f.t), admin: port(f.t),
+		output: &bytes.Buffer{}, exited: make(chan error, 1),
+	}
+	target, err := stubs.NewTarget(stubs.TargetSettings{
+		Name: i.name, Slots: 32, ServiceTime: 2 * time.Millisecond, Egress: i.egress, Calls: calls, AnswerBytes: 2000,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(target.Close)
+	i.target = target
+	return i
+}
+
+// start starts a node process. It ends with the test at the latest.
+func (f *fleet) start(i *instance) {
+	f.t.Helper()
+	i.process = exec.Command(f.program, "node", "--name", i.name, "--service", i.service, "--zone", i.zone,
+		"--callers", i.callers, "--egress", i.egress, "--peers", i.peers)
+	i.process.Env = append(os.Environ(), "GYPSUMRAIL_ADMIN="+i.admin, "GYPSUMRAIL_TARGET="+i.target.Address(),
+		"GYPSUMRAIL_PLATFORM="+f.platform.Address(), "GYPSUMRAIL_SEEDS="+f.instances[0].peers)
+	i.process.Stderr = i.output
+	if err := i.process.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { i.exited <- i.process.Wait() }()
+	f.t.Cleanup(func() {
+		_ = i.process.Process.Kill()
+		select {
+		case <-i.exited:
+		case <-time.After(patience):
+			f.t.Errorf("%s did not end", i.name)
+			return
+		}
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", i.name, i.output)
+		}
+	})
+}
+
+// end waits until a process has ended and returns its error.
+func (f *fleet) end(i *instance) error {
+	f.t.Helper()
+	select {
+	case err := <-i.exited:
+		i.exited <- err
+		return err
+	case <-time.After(patience):
+		f.t.Fatalf("%s did not end", i.name)
+		return nil
+	}
+}
+
+func (f *fleet) signal(i *instance, s syscall.Signal) {
+	f.t.Helper()
+	if err := i.process.Process.Signal(s); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// publish publishes records in which the class read has the given allowance.
+func (f *fleet) publish(allowance int) gypsumrail.Revision {
+	var records []map[string]any
+	for i, service := range services {
+		records = append(records, map[string]any{
+			"SchemaVersion": 2, "Kind": "Service", "Name": service, "Dependencies": services[i+1 : min(i+2, len(services))],
+			"SlotsMax": 64, "ConnsMax": 256, "ColdStartMillis": 0,
+		})
+	}
+	for _, i := range f.instances {
+		records = append(records, map[string]any{
+			"SchemaVersion": 2, "Kind": "Target", "Name": i.name, "Service": i.service, "Zone": i.zone, "Slots": 32, "Conns": 64,
+		})
+	}
+	for name, repeatable := range map[string]bool{"read": true, "order": false} {
+		records = append(records, map[string]any{
+			"SchemaVersion": 2, "Kind": "Class", "Name": name, "Importance": 5, "DeadlineMillis": 20000, "Repeatable": repeatable,
+			"Service": "front", "Uses": services, "Allowance": allowance,
+		})
+	}
+	content, err := json.Marshal(map[string]any{"Revision": 1, "Records": records})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.platform.Publish(gypsumrail.ValueRecords, content)
+}
+
+func (f *fleet) publishList() {
+	var list []gypsumrail.Instance
+	for _, i := range f.instances {
+		list = append(list, gypsumrail.Instance{Name: i.name, Service: i.service, Zone: i.zone, Address: i.peers, State: gypsumrail.Live})
+	}
+	content, err := wire.FormatInstances(list)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.platform.Publish(gypsumrail.ValueInstances, content)
+}
+
+func (f *fleet) named(name string) *instance {
+	for _, i := range f.instances {
+		if i.name == name {
+			return i
+		}
+	}
+	f.t.Fatalf("no instance %s", name)
+	return nil
+}
+
+type status struct {
+	Node struct {
+		Services []struct {
+			Upstreams []struct {
+				Instance string
+				Usable   bool
+			}
+		}
+	}
+	Shell struct {
+		Ready          bool
+		RecordsInForce gypsumrail.Revision
+	}
+}
+
+// usable counts the instances to which the node can send calls.
+func (s status) usable() int {
+	n := 0
+	for _, service := range s.Node.Services {
+		for _, u := range service.Upstreams {
+			if u.Usable {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (f *fleet) status(i *instance) (status, bool) {
+	var s status
+	answer, err := client.Get("http://" + i.admin + "/status")
+	if err != nil {
+		return s, false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return s, answer.StatusCode == http.StatusOK && json.NewDecoder(answer.Body).Decode(&s) == nil
+}
+
+// await polls until a condition holds.
+func (f *fleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// call makes a call and returns an error unless the answer is whole and good.
+func (f *fleet) call(i *instance, class, request string, header ...string) error {
+	r, err := http.NewRequest(http.MethodPost, "http://"+i.callers+"/x", strings.NewReader("body"))
+	if err != nil {
+		return err
+	}
+	r.Header.Set(wire.HeaderService, "front")
+	r.Header.Set(wire.HeaderClass, class)
+	r.Header.Set(wire.HeaderRequest, request)
+	for n := 0; n+1 < len(header); n += 2 {
+		r.Header.Set(header[n], header[n+1])
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(answer.Body, 300))
+		return fmt.Errorf("status %d, outcome %s: %s", answer.StatusCode, answer.Header.Get(wire.HeaderOutcome), body)
+	}
+	return stubs.CheckBody(answer.Body, request)
+}
+
+// ran returns how often a request ran on the targets of a service.
+func (f *fleet) ran(service, request string) int {
+	n := 0
+	for _, i := range f.instances {
+		if i.service == service {
+			n += i.target.Ran(request)
+		}
+	}
+	return n
+}
+
+// ticket returns a fresh idempotency key.
+func (f *fleet) ticket(i *instance) string {
+	f.t.Helper()
+	answer, err := client.Post("http://"+i.callers+"/tickets?Service=front&Class=order", "", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var body struct{ Keys []string }
+	if err := json.NewDecoder(answer.Body).Decode(&body); err != nil || len(body.Keys) != 1 {
+		f.t.Fatalf("tickets: status %d, %v", answer.StatusCode, err)
+	}
+	return body.Keys[0]
+}
--- /dev/null
+++ b/proc/proc_test.go
@@ -0,0 +1,99 @@
+package proc
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// Guards against a fleet of real processes that does not carry a request to the
+// deepest service, does not put a publication in force everywhere, does not
+// survive the loss of a node, or loses calls when a node is drained.
+func TestFleet(t *testing.T) {
+	f := newFleet(t)
+	entry := f.named("front-a")
+
+	if err := f.call(entry, "read", "whole"); err != nil {
+		t.Fatal(err)
+	}
+	for _, service := range services {
+		if n := f.ran(service, "whole"); n != 1 {
+			t.Errorf("the request ran %d times on %s", n, service)
+		}
+	}
+
+	key := f.ticket(entry)
+	for attempt := 1; attempt <= 2; attempt++ {
+		if err := f.call(f.named("middle-b"), "order", "order-1", wire.HeaderKey, key, wire.HeaderAttempt, fmt.Sprint(attempt)); err != nil {
+			t.Errorf("attempt %d of an order: %v", attempt, err)
+		}
+	}
+	for _, service := range services {
+		if n := f.ran(service, "order-1"); n != 1 {
+			t.Errorf("the order ran %d times on %s", n, service)
+		}
+	}
+
+	revision := f.publish(2)
+	for _, i := range f.instances {
+		f.await(fmt.Sprintf("revision %d at %s", revision, i.name), func() bool {
+			s, ok := f.status(i)
+			return ok && s.Shell.RecordsInForce == revision
+		})
+	}
+
+	killed := f.named("deep-b")
+	f.signal(killed, syscall.SIGKILL)
+	_ = f.end(killed)
+	good := 0
+	f.await("20 good answers in a row without "+killed.name, func() bool {
+		good++
+		if err := f.call(entry, "read", fmt.Sprintf("killed-%d", good)); err != nil {
+			t.Logf("without %s: %v", killed.name, err)
+			good = 0
+		}
+		return good == 20
+	})
+
+	f.drainUnderLoad(entry, f.named("middle-b"))
+}
+
+// drainUnderLoad drains a node while calls run and fails if one is lost.
+func (f *fleet) drainUnderLoad(entry, drained *instance) {
+	f.t.Helper()
+	var calls, done atomic.Int64
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	for worker := range 8 {
+		work.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				calls.Add(1)
+				request := fmt.Sprintf("drain-%d-%d", worker, n)
+				if err := f.call(entry, "read", request); err != nil {
+					f.t.Errorf("%s: %v", request, err)
+				}
+				done.Add(1)
+			}
+		})
+	}
+	before := drained.target.Total()
+	f.await("load on "+drained.name, func() bool { return drained.target.Total() > before+50 })
+	f.signal(drained, syscall.SIGTERM)
+	if err := f.end(drained); err != nil {
+		f.t.Errorf("%s ended with %v", drained.name, err)
+	}
+	after := done.Load()
+	f.await("calls after the drain", func() bool { return done.Load() > after+50 })
+	close(stop)
+	work.Wait()
+	f.t.Logf("%d calls around the drain", calls.Load())
+}
