--- a/verbs/main.go
+++ b/verbs/main.go
@@ -29,6 +29,9 @@
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
 		{"node", "run the node beside one target", runNode},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
+		{"status", "show what a node holds in force and why", runStatus},
+		{"record", "record the events of a node as a trace", runRecord},
+		{"slopes", "measure how costs grow with the size of the fleet", runSlopes},
 		{"version", "print the version", runVersion},
 		{"help", "print this list", runHelp},
 	}
