--- a/build/node.go
+++ b/build/node.go
@@ -11,11 +11,13 @@
 	"go.uber.org/fx"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/admin"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/ledger"
+	"github.com/gypsumrail/gypsumrail/limit"
 	"github.com/gypsumrail/gypsumrail/member"
+	"github.com/gypsumrail/gypsumrail/meter"
 	"github.com/gypsumrail/gypsumrail/notice"
-	"github.com/gypsumrail/gypsumrail/plain"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/record"
 	"github.com/gypsumrail/gypsumrail/retry"
@@ -40,7 +42,7 @@
 		fx.NopLogger,
 		fx.Supply(settings),
 		fx.Provide(
-			newClock, newSelf, newListeners, newLogger,
+			newClock, newSelf, newListeners, newLogger, meter.New,
 			newLimiter, newQueue, newShedder, newBudget, newLedger, newDirectory, newValues,
 			newRecords, newRouter, newReducer, newParts, newShell,
 		),
@@ -133,15 +135,13 @@
 	})
 }
 
-// limitMax is the limit until package limit learns one.
-const limitMax = 64
-
-func newLimiter() gypsumrail.Limiter { return plain.Limit(limitMax) }
-func newQueue() gypsumrail.Queue     { return queue.New(queue.Settings{}) }
+func newLimiter() gypsumrail.Limiter { return limit.New(limit.Settings{}) }
 func newShedder() gypsumrail.Shedder { return shed.New(shed.Settings{}) }
 func newBudget() gypsumrail.Budget   { return retry.New(retry.Settings{}) }
 func newValues() gypsumrail.Values   { return revise.New(revise.Settings{}) }
 
+func newQueue(m *meter.Meter) gypsumrail.Queue { return m.Queue(queue.New(queue.Settings{})) }
+
 func newLedger(self gypsumrail.Instance) gypsumrail.Ledger {
 	return ledger.New(self, ledger.Settings{})
 }
@@ -191,23 +191,19 @@
 	return node
 }
 
-func newParts(settings Settings, node *core.Node, logger shell.Logger, clock gypsumrail.Clock) shell.Parts {
+func newParts(settings Settings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) shell.Parts {
 	return shell.Parts{
-		Reducer: node,
-		Status:  func() any { return node.Status() },
+		Reducer: m.Watch(node),
+		Status: func() any {
+			return admin.Node{Status: node.Status(), SchemaMax: settings.SchemaMax, Refusals: m.Refusals()}
+		},
 		Records: func(content []byte) (*gypsumrail.Records, error) {
 			return record.Parse(string(gypsumrail.ValueRecords), content, record.Options{SchemaMax: settings.SchemaMax})
 		},
-		Logger: logger, Meter: noMeter{}, Clock: clock,
+		Logger: logger, Meter: m, Metrics: m, Clock: clock,
 	}
 }
 
-// noMeter counts nothing.
-type noMeter struct{}
-
-func (noMeter) Ended(shell.End)                             {}
-func (noMeter) Stepped(gypsumrail.EventKind, time.Duration) {}
-
 func newShell(settings Settings, self gypsumrail.Instance, parts shell.Parts, listeners *shell.Listeners) *shell.Shell {
 	return shell.New(shell.Settings{
 		Self: self, Target: settings.Target, Platform: settings.Platform, Seeds: settings.Seeds,
--- a/shell/admin.go
+++ b/shell/admin.go
@@ -9,6 +9,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/admin"
 	"github.com/gypsumrail/gypsumrail/wire"
 )
 
@@ -25,17 +26,6 @@
 func (r *readiness) adopt() { r.adopted.Store(true) }
 func (r *readiness) drain() { r.draining.Store(true) }
 
-// shellStatus is the shell's part of /status.
-type shellStatus struct {
-	Calls          int
-	Answers        int // kept for resends
-	Ready          bool
-	Watching       bool
-	LinesDropped   uint64
-	EventsDropped  uint64
-	RecordsInForce gypsumrail.Revision
-}
-
 // adminHandler serves the operators' port.
 func (s *Shell) adminHandler() http.Handler {
 	router := newRouter()
@@ -68,8 +58,8 @@
 	}
 	content, err := json.Marshal(struct {
 		Node  any
-		Shell shellStatus
-	}{node, shellStatus{
+		Shell admin.Shell
+	}{node, admin.Shell{
 		Calls: len(s.calls), Answers: len(s.kept.answers),
 		Ready:    s.ready.adopted.Load() && !s.ready.draining.Load(),
 		Watching: s.watching != nil, LinesDropped: s.lines.dropped.Load(), EventsDropped: s.stream.dropped.Load(),
