--- a/verbs/main.go
+++ b/verbs/main.go
@@ -27,6 +27,7 @@
 	return []verb{
 		{"check", "check record sets and report all faults", runCheck},
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
+		{"node", "run the node beside one target", runNode},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
 		{"status", "show what a node holds in force and why", runStatus},
 		{"record", "record the events of a node as a trace", runRecord},
