Add the demonstration (demo)

The stand-in for a target now answers 502 when a service below it fails, as the fake target of replays does. It passed 429 and 503 on, from which the node beside it learned that its own target was overloaded and shrank the limit.

--- a/stubs/stubs_test.go
+++ b/stubs/stubs_test.go
@@ -170,3 +170,23 @@
 		t.Errorf("%d connections were opened", relay.Opened())
 	}
 }
+
+// Guards against a target that passes the refusal of a service below it on as
+// its own, from which a node would learn that this target is overloaded.
+func TestTargetBelow(t *testing.T) {
+	below, err := NewTarget(TargetSettings{Name: "below"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer below.Close()
+	below.SetRefusing(true)
+	target, err := NewTarget(TargetSettings{Name: "t", Calls: []string{"below"}, Egress: below.Address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	answer, err := get(t, "http://"+target.Address()+"/", wire.HeaderRequest, "r-1")
+	if err != nil || answer.StatusCode != http.StatusBadGateway {
+		t.Errorf("answered %v, %v", answer, err)
+	}
+}
--- a/stubs/target.go
+++ b/stubs/target.go
@@ -177,7 +177,8 @@
 	status := http.StatusOK
 	for _, name := range t.settings.Calls {
 		if below := t.call(r, egress, name); below >= http.StatusBadRequest {
-			status = below
+			// 429 or 503 would tell that this target itself is overloaded.
+			status = http.StatusBadGateway
 			break
 		}
 	}
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -28,6 +28,7 @@
 		{"check", "check record sets and report all faults", runCheck},
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
+		{"demo", "show what the layer does under overload, in one process", runDemo},
 		{"status", "show what a node holds in force and why", runStatus},
 		{"record", "record the events of a node as a trace", runRecord},
 		{"slopes", "measure how costs grow with the size of the fleet", runSlopes},
