Add trials of a deployment under faults (trial)

shell.Settings.Dial and link.NewPoolVia let a trial separate two zones: each zone has a relay of its own to each address. stubs.TargetSettings.Seen tells the observer of each run.

--- a/link/transport.go
+++ b/link/transport.go
@@ -36,14 +36,25 @@
 
 // Pool keeps connections to the hosts of one kind. It is safe for concurrent use.
 type Pool struct {
+	dial    Dial
 	mu      sync.Mutex
 	conns   int
 	current atomic.Pointer[http.Transport]
 }
 
+// Dial opens a connection. It must end within about a second, as the pool's own does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	p := &Pool{}
+func NewPool() *Pool { return NewPoolVia(nil) }
+
+// NewPoolVia returns an empty pool that opens its connections by other means, so
+// that a test can separate two nodes; nil takes the usual one.
+func NewPoolVia(via Dial) *Pool {
+	if via == nil {
+		via = dial
+	}
+	p := &Pool{dial: via}
 	p.SetConns(connsDefault)
 	return p
 }
@@ -62,7 +73,7 @@
 	}
 	p.conns = perHost
 	// A transport's bound must not change while it is in use.
-	if old := p.current.Swap(newTransport(perHost, false)); old != nil {
+	if old := p.current.Swap(newTransport(p.dial, perHost, false)); old != nil {
 		old.CloseIdleConnections()
 	}
 }
@@ -80,11 +91,19 @@
 }
 
 // NewFresh returns a transport that opens a new connection for each request.
-func NewFresh() http.RoundTripper { return newTransport(connsDefault, true) }
+func NewFresh() http.RoundTripper { return NewFreshVia(nil) }
+
+// NewFreshVia is NewFresh with other means to open a connection; nil takes the usual one.
+func NewFreshVia(via Dial) http.RoundTripper {
+	if via == nil {
+		via = dial
+	}
+	return newTransport(via, connsDefault, true)
+}
 
-func newTransport(perHost int, fresh bool) *http.Transport {
+func newTransport(via Dial, perHost int, fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:           dial,
+		DialContext:           via,
 		DisableCompression:    true, // bodies pass unchanged
 		DisableKeepAlives:     fresh,
 		MaxConnsPerHost:       perHost,
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -45,6 +45,7 @@
 	Target   string              // IP address and port of the own target
 	Platform string              // IP address and port of the platform
 	Seeds    []string            // IP addresses and ports of peers to ask at the start
+	Dial     link.Dial           // opens connections to peers and the platform; nil for the usual way
 }
 
 // Shell runs one node.
@@ -92,7 +93,7 @@
 	s := &Shell{
 		settings: settings, parts: parts, listeners: listeners,
 		base: base, cancel: cancel, stopped: make(chan struct{}),
-		targets: link.NewPool(), peers: link.NewPool(), quiet: link.NewPool(),
+		targets: link.NewPool(), peers: link.NewPoolVia(settings.Dial), quiet: link.NewPoolVia(settings.Dial),
 		store: feed.NewStore(), buffers: link.NewBuffers(buffersMax),
 		stream: newStream(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only; tokens use crypto/rand
@@ -105,7 +106,7 @@
 	}
 	s.lines = newLines(parts.Logger)
 	s.quiet.SetConns(quietConnsMax)
-	s.control = peer.NewClient(s.quiet, link.NewFresh())
+	s.control = peer.NewClient(s.quiet, link.NewFreshVia(settings.Dial))
 	s.feed = feed.NewClient(settings.Platform, s.quiet)
 	s.lastTick = parts.Clock.Now()
 	s.servers = s.newServers()
--- a/stubs/target.go
+++ b/stubs/target.go
@@ -24,6 +24,10 @@
 	Egress      string        // IP address and port of the node's egress port
 	Calls       []string      // services that it calls in turn through its node
 	AnswerBytes int64         // size of the answer's body; at least its first line
+
+	// Seen, if set, is told of each request that starts to run or is turned away
+	// by SetRefusing. It must be safe for concurrent use.
+	Seen func(r *http.Request, ran bool)
 }
 
 // Target is a stand-in for a target. It is safe for concurrent use.
@@ -115,6 +119,13 @@
 	}
 }
 
+// Up tells whether the target runs, which it does not between Crash and Restart.
+func (t *Target) Up() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.server != nil
+}
+
 // Restart opens the port again after Crash.
 func (t *Target) Restart() error {
 	l, err := listen(t.address)
@@ -159,6 +170,7 @@
 	service, refusing, cut, egress := t.service, t.refusing, t.cutAfter, t.settings.Egress
 	t.mu.Unlock()
 	if refusing {
+		t.seen(r, false)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -171,6 +183,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	t.seen(r, true)
 	busy := t.count(r)
 	defer t.finish()
 	pause(r, service)
@@ -184,6 +197,12 @@
 	t.answer(w, r, status, busy, cut)
 }
 
+func (t *Target) seen(r *http.Request, ran bool) {
+	if t.settings.Seen != nil {
+		t.settings.Seen(r, ran)
+	}
+}
+
 func (t *Target) count(r *http.Request) int {
 	request, key := r.Header.Get(wire.HeaderRequest), r.Header.Get(wire.HeaderKey)
 	t.mu.Lock()
--- /dev/null
+++ b/trial/status.go
@@ -0,0 +1,89 @@
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Status is what a node says about itself on its admin port.
+type Status struct {
+	Node struct {
+		Self      gypsumrail.Instance
+		Instances int
+		Sends     int
+		Serves    int
+		Counts    struct{ Retries, Pauses, SilentConns, Resolves uint64 }
+	}
+	Shell struct {
+		Ready          bool
+		RecordsInForce gypsumrail.Revision
+	}
+}
+
+// Status asks a node for its status.
+func (d *Deployment) Status(i *Instance) (Status, error) {
+	var s Status
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + i.Ports.Admin + "/status")
+	if err != nil {
+		return s, fmt.Errorf("trial: status of %s: %w", i.Name, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := json.NewDecoder(answer.Body).Decode(&s); err != nil {
+		return s, fmt.Errorf("trial: status of %s: %w", i.Name, err)
+	}
+	return s, nil
+}
+
+// Await polls until a condition holds, and tells whether it did within a minute.
+func Await(ok func() bool) bool {
+	for deadline := time.Now().Add(time.Minute); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	return true
+}
+
+// AwaitReady waits until all nodes run, are ready and know each other.
+func (d *Deployment) AwaitReady() error {
+	var last string
+	if !Await(func() bool {
+		for _, i := range d.Instances {
+			s, err := d.Status(i)
+			if err != nil || !s.Shell.Ready || s.Node.Instances != len(d.Instances) {
+				last = fmt.Sprintf("%s: ready %v, knows %d instances, %v", i.Name, s.Shell.Ready, s.Node.Instances, err)
+				return false
+			}
+		}
+		return true
+	}) {
+		return fmt.Errorf("trial: not ready: %s", last)
+	}
+	return nil
+}
+
+// AwaitRevision publishes records and waits until all nodes have them in force.
+func (d *Deployment) AwaitRevision() error {
+	revision, err := d.PublishRecords(Allowance)
+	if err != nil {
+		return err
+	}
+	var last string
+	if !Await(func() bool {
+		for _, i := range d.Instances {
+			if s, err := d.Status(i); err != nil || s.Shell.RecordsInForce != revision {
+				last = fmt.Sprintf("%s has revision %d, %v", i.Name, s.Shell.RecordsInForce, err)
+				return false
+			}
+		}
+		return true
+	}) {
+		return fmt.Errorf("trial: revision %d is not in force everywhere: %s", revision, last)
+	}
+	return nil
+}
