--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 lint: $(LINT)
 	@test -z "$$(gofmt -l . | tee /dev/stderr)"
-	$(LINT) run ./...
+	$(LINT) run --allow-parallel-runners ./...
 
 traces:
 	@if ls traces/*.jsonl >/dev/null 2>&1; then $(GO) run ./cmd/gypsumrail replay --known-red KNOWN-RED.txt traces/*.jsonl; fi
