Start the limit at the ceiling and probe only full targets

The first probes of each node and the cold start at a quarter of the ceiling shed calls that the target could have run.

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -79,7 +79,7 @@
 	hintAt    gypsumrail.Millis
 }
 
-// New returns the limit of a cold target.
+// New returns the limit of a target of which nothing is known.
 func New(settings Settings) *Adaptive {
 	settings = settings.withDefaults()
 	a := &Adaptive{settings: settings, raiseWait: raiseWaitMin, cutWait: cutWaitMin}
@@ -100,7 +100,7 @@
 func (a *Adaptive) Limit() int { return a.limit }
 
 // SetCeiling sets the most that the records allow. The first ceiling sets the
-// limit at which a cold target starts; values below 1 count as 1.
+// limit at which a target starts; values below 1 count as 1.
 func (a *Adaptive) SetCeiling(slots int) {
 	slots = max(1, slots)
 	if !a.known {
@@ -168,6 +168,7 @@
 		}
 	case !bound:
 		a.limit, a.phase = a.base, steady
+		a.confirmIdle(m)
 	case a.phase == probingDown:
 		a.endDown(now, m)
 	case a.phase == probingUp:
@@ -177,6 +178,18 @@
 	}
 }
 
+// confirmIdle takes the time per call while at most half of the limit is in use
+// as the right one: no probe is needed to learn what the target does unhindered.
+func (a *Adaptive) confirmIdle(m measurement) {
+	if m.good < samplesMin || m.inFlight > float64(a.limit)/probeFactor {
+		return
+	}
+	if a.confirmed == 0 {
+		a.confirmed = m.self
+	}
+	a.confirmed += selfFresh * (m.self - a.confirmed)
+}
+
 // shrink follows calls that were refused or failed. A target that refuses above
 // its slots shows them: no call is good with more in flight. If calls are bad
 // at any concurrency, the limit shrinks by their share until they are good again.
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -25,8 +25,11 @@
 // per window.
 //
 // The ceiling comes from the records. Slots that the target reports only cause
-// a probe when they change, because a report may be false or frozen. A cold
-// target starts at a quarter of the ceiling and doubles like a recovered one.
+// a probe when they change, because a report may be false or frozen. A node
+// starts at the ceiling: what restarts is mostly the node and not its target, and
+// routers give a new instance a growing share anyway. A lower start doubles like
+// a recovered target. The time per call while at most half of the limit is in use
+// stands for the unhindered one, so that a target that is never full is never probed.
 //
 // Static and Unlimited serve as baselines.
 package limit
--- a/limit/settings.go
+++ b/limit/settings.go
@@ -5,7 +5,7 @@
 // Settings of an adaptive limit. A value of zero or less takes the default.
 type Settings struct {
 	Ceiling int               // until SetCeiling is called; default 1024
-	Initial float64           // share of the ceiling with which a target starts; default 0.25, at most 1
+	Initial float64           // share of the ceiling with which a target starts; default 1, which is also the most
 	Window  gypsumrail.Millis // least span of one measurement; default 100 ms
 	Samples int               // completions that a measurement needs before ten windows are over; default 250
 }
@@ -15,7 +15,7 @@
 		s.Ceiling = 1024
 	}
 	if s.Initial <= 0 || s.Initial > 1 {
-		s.Initial = 0.25
+		s.Initial = 1
 	}
 	if s.Window <= 0 {
 		s.Window = 100
