Start the nodes of the demonstration with package build

The demonstration runs what the node command runs, and no second assembly can drift from it. A node on a free port now tells others the address of its peers port, and its addresses can be read.

The warm-up takes a quarter of a run, because limits start at a quarter of the slots and grow. The test of the address was seen to fail without the default.

--- a/build/node.go
+++ b/build/node.go
@@ -31,6 +31,8 @@
 type Node struct {
 	app   *fx.App
 	shell *shell.Shell
+	ports shell.Addresses
+	self  gypsumrail.Instance
 	ended chan struct{} // closed when the shell has ended
 	err   error         // of the shell; read after ended
 }
@@ -42,11 +44,11 @@
 		fx.NopLogger,
 		fx.Supply(settings),
 		fx.Provide(
-			newClock, newSelf, newListeners, newLogger, meter.New,
+			newClock, newInstance, newListeners, newAddresses, newLogger, meter.New,
 			newLimiter, newQueue, newShedder, newBudget, newLedger, newDirectory, newValues,
 			newRecords, newRouter, newReducer, newParts, newShell,
 		),
-		fx.Populate(&n.shell),
+		fx.Populate(&n.shell, &n.ports, &n.self),
 		fx.Invoke(n.run),
 		fx.Supply(fx.Annotate(ctx, fx.As(new(context.Context)))),
 	)
@@ -97,6 +99,12 @@
 	return n.err
 }
 
+// Addresses returns where the ports are open.
+func (n *Node) Addresses() shell.Addresses { return n.ports }
+
+// Self returns the instance as it is when the node starts.
+func (n *Node) Self() gypsumrail.Instance { return n.self }
+
 // Drain starts a graceful shutdown, after which Run returns.
 func (n *Node) Drain() { n.shell.Drain() }
 
@@ -125,6 +133,18 @@
 	return self
 }
 
+// newInstance gives an instance without an address that of the peers port,
+// which is known only now if the port was chosen by the system.
+func newInstance(settings Settings, ports shell.Addresses) gypsumrail.Instance {
+	self := newSelf(settings)
+	if self.Address == "" {
+		self.Address = ports.Peers
+	}
+	return self
+}
+
+func newAddresses(listeners *shell.Listeners) shell.Addresses { return listeners.Addresses() }
+
 func newListeners(ctx context.Context, settings Settings) (*shell.Listeners, error) {
 	return shell.Listen(ctx, settings.Listen) //nolint:wrapcheck // the error names the port
 }
--- a/build/node_test.go
+++ b/build/node_test.go
@@ -53,3 +53,22 @@
 		t.Errorf("a port in use gives %v", err)
 	}
 }
+
+// Guards against a node on a free port that tells others an address at which it
+// cannot be reached.
+func TestAddress(t *testing.T) {
+	s := settings()
+	s.Self.Address = ""
+	n, err := New(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := n.Self().Address; got != n.Addresses().Peers || strings.HasSuffix(got, ":0") {
+		t.Errorf("the address is %q, the peers port %q", got, n.Addresses().Peers)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := n.Run(ctx); err != nil {
+		t.Error(err)
+	}
+}
--- a/build/settings.go
+++ b/build/settings.go
@@ -16,7 +16,7 @@
 
 // Settings of a node. They are valid: whoever fills them in checks them.
 type Settings struct {
-	Self      gypsumrail.Instance // Name, Service, Zone and Address
+	Self      gypsumrail.Instance // Name, Service, Zone and Address; without Address that of the peers port
 	Listen    shell.Addresses
 	Target    string
 	Platform  string
--- a/demo/node.go
+++ b/demo/node.go
@@ -4,18 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/admin"
-	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/meter"
-	"github.com/gypsumrail/gypsumrail/notice"
-	"github.com/gypsumrail/gypsumrail/parts"
+	"github.com/gypsumrail/gypsumrail/build"
 	"github.com/gypsumrail/gypsumrail/record"
 	"github.com/gypsumrail/gypsumrail/shell"
 	"github.com/gypsumrail/gypsumrail/stubs"
@@ -39,7 +34,7 @@
 	for _, name := range targetNames(records) {
 		self, ports, err := f.addNode(ctx, records.Targets[name], platform.Address())
 		if err != nil {
-			return err
+			return fmt.Errorf("node %s: %w", name, err)
 		}
 		list = append(list, self)
 		f.entries = append(f.entries, ports.Callers)
@@ -56,47 +51,28 @@
 
 func (f *fleet) addNode(ctx context.Context, t *gypsumrail.Target, platform string) (gypsumrail.Instance, shell.Addresses, error) {
 	const free = "127.0.0.1:0"
-	listeners, err := shell.Listen(ctx, shell.Addresses{Callers: free, Egress: free, Peers: free, Admin: free})
+	node, err := build.New(ctx, build.Settings{
+		Self:   gypsumrail.Instance{Name: t.Name, Service: t.Service, Zone: t.Zone},
+		Listen: shell.Addresses{Callers: free, Egress: free, Peers: free, Admin: free},
+		Target: f.targets[t.Name].Address(), Platform: platform, SchemaMax: record.SchemaMax, Log: io.Discard,
+	})
 	if err != nil {
-		return gypsumrail.Instance{}, shell.Addresses{}, fmt.Errorf("node %s: %w", t.Name, err)
-	}
-	ports := listeners.Addresses()
-	self := gypsumrail.Instance{
-		Name: t.Name, Service: t.Service, Zone: t.Zone, Address: ports.Peers, State: gypsumrail.Live, Version: 1,
-		Incarnation: gypsumrail.Incarnation(uint64(time.Now().UnixMilli())<<20 | uint64(rand.Int64N(1<<20))), //nolint:gosec // not a secret
+		return gypsumrail.Instance{}, shell.Addresses{}, err
 	}
-	clock := clock{time.Now()}
-	m := meter.New()
-	node := m.Watch(parts.NewNode(self, core.Settings{}, parts.Settings{}))
-	s := shell.New(shell.Settings{Self: self, Target: f.targets[t.Name].Address(), Platform: platform}, shell.Parts{
-		Reducer: node,
-		Status: func() any {
-			return admin.Node{Status: node.Status(), SchemaMax: record.SchemaMax, Refusals: m.Refusals()}
-		},
-		Records: func(content []byte) (*gypsumrail.Records, error) {
-			return record.Parse(string(gypsumrail.ValueRecords), content, record.Options{})
-		},
-		Logger: notice.New(io.Discard, clock, notice.Settings{Node: t.Name}), Meter: m, Metrics: m, Clock: clock,
-	}, listeners)
-	f.targets[t.Name].SetEgress(ports.Egress)
+	f.targets[t.Name].SetEgress(node.Addresses().Egress)
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = s.Run(ctx)
+		_ = node.Run(ctx)
 	}()
 	f.closers = append(f.closers, func() {
 		cancel()
 		<-ended
 	})
-	return self, ports, nil
+	return node.Self(), node.Addresses(), nil
 }
 
-// clock counts from the start of a node.
-type clock struct{ start time.Time }
-
-func (c clock) Now() gypsumrail.Millis { return gypsumrail.MillisOf(time.Since(c.start)) }
-
 // awaitReady waits until a node has records in force.
 func awaitReady(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
--- a/demo/scene.go
+++ b/demo/scene.go
@@ -66,7 +66,7 @@
 
 // timelineOf divides the length of a run.
 func timelineOf(length time.Duration) timeline {
-	return timeline{warm: length / 6, from: length / 3, until: length * 3 / 5, length: length}
+	return timeline{warm: length / 4, from: length * 2 / 5, until: length * 3 / 5, length: length}
 }
 
 // records returns the records of the scene, which are valid by a test.
