--- a/demo/demo.go
+++ b/demo/demo.go
@@ -48,10 +48,10 @@
 	Layer   bool
 	At      time.Duration
 	Length  time.Duration
-	Phase   string
-	Sent    int // requests that arrived in the second before the last
-	InTime  int // of these, answered in time so far
-	Pending int // of these, not ended yet
+	Phase   string // in which the counted requests arrived
+	Sent    int    // requests that arrived in the second before the last
+	InTime  int    // of these, answered in time so far
+	Pending int    // of these, not ended yet
 }
 
 // Result compares both runs.
@@ -124,8 +124,9 @@
 				continue
 			}
 			at := time.Since(began).Truncate(time.Second)
-			p := Progress{Layer: l.caller.keyed, At: at, Length: t.length, Phase: t.phase(at)}
-			p.Sent, p.Pending, p.InTime = l.lately(at-2*time.Second, at-time.Second)
+			from := at - 2*time.Second // late enough for most of these requests to have ended
+			p := Progress{Layer: l.caller.keyed, At: at, Length: t.length, Phase: t.phase(from)}
+			p.Sent, p.Pending, p.InTime = l.lately(from, from+time.Second)
 			s.Progress(p)
 		}
 	}
