Open half of the limit after one window of good calls

Cause: while a target restarts all calls fail and its limit shrinks to 1. It then doubled once a window, and windows are long while the target is cold: 12 s until 220 slots were open again, with 200 calls queued.

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -161,8 +161,10 @@
 	case m.badShare > badAbove:
 		a.shrink(now, m)
 	case a.restore > a.limit:
-		// Nothing was learned about the capacity, so no comparison is needed.
-		a.set(min(a.restore, a.limit*probeFactor))
+		// Nothing was learned about the capacity, so no comparison is needed. One
+		// window of good calls opens half of the limit: doubling from 1 took a target
+		// of 220 slots 12 s after a restart.
+		a.set(min(a.restore, max(a.limit, a.restore/probeFactor/probeFactor)*probeFactor))
 		if a.limit == a.restore {
 			a.restore = 0
 		}
