Do not count a passed-on refusal against the target

Cause: a target that gets 503 from a service below passes it on, and its node took that for overload of the target and shrank its limit. The node sees that an outgoing call of the same run had no answer, so it now leaves the sample's Refused unset. Seen to fail with the condition removed (refused is true).

--- a/core/calls.go
+++ b/core/calls.go
@@ -75,6 +75,7 @@
 	children    []gypsumrail.CallID
 	childSince  gypsumrail.Millis
 	childWait   gypsumrail.Millis
+	childFailed bool // an outgoing call had no answer, which the target may pass on
 	childKeys   []string // idempotency keys that the target used for outgoing calls
 }
 
--- /dev/null
+++ b/core/limit_test.go
@@ -0,0 +1,69 @@
+package core_test
+
+import (
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/limit"
+	"github.com/gypsumrail/gypsumrail/parts"
+)
+
+// sampled records what the reducer lets the limiter learn.
+type sampled struct {
+	gypsumrail.Limiter
+	samples []gypsumrail.Sample
+}
+
+func (s *sampled) Completed(_ gypsumrail.Millis, sample gypsumrail.Sample) {
+	s.samples = append(s.samples, sample)
+}
+
+// newSampled returns a node of the service front whose limiter records its samples.
+func newSampled() (*core.Node, *sampled) {
+	self := gypsumrail.Instance{Name: "front-0", Service: "front", Zone: "z0", Address: "127.0.0.1:1", Incarnation: 1 << 20, State: gypsumrail.Live}
+	assembled := parts.New(self, parts.Settings{})
+	s := &sampled{Limiter: limit.NewStatic(8)}
+	assembled.Limiter = s
+	n := core.New(core.Settings{}, assembled)
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: labRecords(8), Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
+	return n, s
+}
+
+// Guards against a limit that shrinks because a service below is overloaded:
+// targets pass on the 503 that they got, and their time includes waiting for it.
+func TestSampleLeavesOutServicesBelow(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		child   bool
+		refused bool
+	}{
+		{"answered", 200, false, false},
+		{"refused by the target", 503, false, true},
+		{"refusal of a service below passed on", 503, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n, s := newSampled()
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 100, Call: 1, Arrival: &gypsumrail.Arrival{
+				Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000,
+			}})
+			if test.child {
+				// No instance of the service middle is known, so the call is refused.
+				n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 110, Call: 2, Arrival: &gypsumrail.Arrival{
+					Origin: gypsumrail.FromTarget, Service: "middle", Request: "r", Parent: 1, Attempt: 1,
+				}})
+			}
+			result := &gypsumrail.Result{Outcome: gypsumrail.Ran, Status: test.status}
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, At: 150, Call: 1, Result: result})
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.TargetDone, At: 150, Call: 1, Result: result})
+			if len(s.samples) != 1 {
+				t.Fatalf("%d samples, want 1", len(s.samples))
+			}
+			if got := s.samples[0].Refused; got != test.refused {
+				t.Errorf("refused is %t, want %t", got, test.refused)
+			}
+		})
+	}
+}
--- a/core/send.go
+++ b/core/send.go
@@ -146,6 +146,7 @@
 	n.emitRefusal(s, n.neverSent(s), reason)
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
 		parent.allowance.Return(&s.fromParent, s.allowance.Left())
+		parent.childFailed = true
 	}
 	n.sendPool = append(n.sendPool, s)
 }
@@ -232,6 +233,9 @@
 func (n *Node) finishWith(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	n.cancelTries(s)
 	n.emitRefusal(s, outcome, reason)
+	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
+		parent.childFailed = true
+	}
 	n.dropSend(s)
 }
 
--- a/core/target.go
+++ b/core/target.go
@@ -16,7 +16,8 @@
 		return
 	}
 	v.answered = true
-	v.refused = isOverloadStatus(event.Result.Status)
+	// A target that passes on the refusal of a service below is not overloaded itself.
+	v.refused = isOverloadStatus(event.Result.Status) && !v.childFailed
 	left := v.allowance.Left()
 	v.allowance = retry.Allowance{} // returned with the answer
 	s := n.sends[v.call]
