Test the operators' side of a node process

The verb status and the metrics of a running node, a process that is stopped and goes on, and a second signal, which ends a node with a call in flight at once with exit code 1.

TestFleet failed once in 12 runs on a busy machine: a call during the drain got 502. It did not fail again in 30 runs, so the cause is not proven. The likely one is a call that met the killed node and the draining one and had no retry left, which is the stated bound. The test now starts the killed node again before it drains another, so that the drain is the only fault, and the stand-in target tells which of its outgoing calls failed and why.

--- /dev/null
+++ b/proc/ops_test.go
@@ -0,0 +1,82 @@
+package proc
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Guards against what operators use and what only a real process shows: the
+// status and the metrics of a running node, a process that was stopped for a
+// while and goes on, and a second signal that does not wait for calls.
+func TestOperations(t *testing.T) {
+	f := newFleet(t)
+	entry, paused := f.named("front-a"), f.named("deep-b")
+	if err := f.call(entry, "read", "first"); err != nil {
+		t.Fatal(err)
+	}
+
+	output, err := exec.CommandContext(t.Context(), f.program, "status", entry.admin).CombinedOutput()
+	if err != nil || !strings.Contains(string(output), "front-a of service front in zone a") {
+		t.Errorf("status: %v\n%s", err, output)
+	}
+	answer, err := client.Get("http://" + entry.admin + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics, _ := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if want := `gypsumrail_calls_total{origin="Caller",service="front",class="read",outcome="Ran",reason=""} 1`; !strings.Contains(string(metrics), want) {
+		t.Errorf("the metrics lack %s", want)
+	}
+
+	// The calls that the stopped process holds are found silent and go elsewhere.
+	f.signal(paused, syscall.SIGSTOP)
+	good := 0
+	f.await("20 good answers in a row without "+paused.name, func() bool {
+		good++
+		if err := f.call(entry, "read", fmt.Sprintf("paused-%d", good)); err != nil {
+			t.Logf("without %s: %v", paused.name, err)
+			good = 0
+		}
+		return good == 20
+	})
+	f.signal(paused, syscall.SIGCONT)
+	f.await(paused.name+" to notice the pause and to be used again", func() bool {
+		s, ok := f.status(paused)
+		seen, okEntry := f.status(f.named("middle-b"))
+		return ok && okEntry && s.Node.Counts.Pauses > 0 && seen.usable() == len(f.instances)
+	})
+
+	// A target that does not answer holds a call for longer than any of this takes.
+	last := f.named("front-b")
+	last.target.SetServiceTime(time.Hour)
+	entry.target.SetServiceTime(time.Hour)
+	go func() { _ = f.call(last, "read", "held") }()
+	f.await("a call in flight", func() bool { return f.ran("front", "held") > 0 })
+	f.signal(last, syscall.SIGTERM)
+	f.await("the drain", func() bool {
+		answer, err := client.Get("http://" + last.admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode == http.StatusServiceUnavailable
+	})
+	f.signal(last, syscall.SIGTERM)
+	var exit *exec.ExitError
+	if err := f.end(last); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Errorf("%s ended with %v", last.name, err)
+	}
+	if !strings.Contains(last.output.String(), fmt.Sprintf("Notice=%d", gypsumrail.NoticeDrainStarted)) {
+		t.Errorf("%s did not log its drain", last.name)
+	}
+}
--- a/proc/proc_test.go
+++ b/proc/proc_test.go
@@ -59,6 +59,11 @@
 		return good == 20
 	})
 
+	// The drain must be the only fault: with an allowance of 2, a call that meets
+	// the dead node and the draining one may rightly run out of retries.
+	f.start(killed)
+	f.awaitRoutes()
+
 	f.drainUnderLoad(entry, f.named("middle-b"))
 }
 
--- a/stubs/target.go
+++ b/stubs/target.go
@@ -6,12 +6,19 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail/wire"
 )
 
+// HeaderFailed tells on a target's answer which outgoing call failed and why.
+const HeaderFailed = "X-Failed-Call"
+
+// failureMax bounds what is told of a failed outgoing call.
+const failureMax = 512
+
 // ranMax bounds the requests that a target remembers.
 const ranMax = 1 << 18
 
@@ -176,8 +183,10 @@
 	pause(r, service)
 	status := http.StatusOK
 	for _, name := range t.settings.Calls {
-		if below := t.call(r, egress, name); below >= http.StatusBadRequest {
+		below, why := t.call(r, egress, name)
+		if below >= http.StatusBadRequest {
 			status = below
+			w.Header().Set(HeaderFailed, fmt.Sprintf("%s %d %s", name, below, why))
 			break
 		}
 	}
@@ -205,12 +214,12 @@
 	t.busy--
 }
 
-// call makes an outgoing call through the node and returns its status. An
-// answer that is not whole, or of another request, gives 502.
-func (t *Target) call(r *http.Request, egress, service string) int {
+// call makes an outgoing call through the node and returns its status and why
+// it failed. An answer that is not whole, or of another request, gives 502.
+func (t *Target) call(r *http.Request, egress, service string) (status int, why string) {
 	out, err := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+egress+"/"+service, http.NoBody)
 	if err != nil {
-		return http.StatusInternalServerError
+		return http.StatusInternalServerError, err.Error()
 	}
 	for _, name := range []string{wire.HeaderCall, wire.HeaderRequest, "Traceparent"} {
 		if value := r.Header.Get(name); value != "" {
@@ -220,17 +229,29 @@
 	out.Header.Set(wire.HeaderService, service)
 	answer, err := t.client.Do(out)
 	if err != nil {
-		return http.StatusBadGateway
+		return http.StatusBadGateway, err.Error()
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(answer.Body, failureMax))
 		_, _ = io.Copy(io.Discard, answer.Body)
-		return answer.StatusCode
+		if why = answer.Header.Get(HeaderFailed); why == "" {
+			why = strings.Map(printable, string(body))
+		}
+		return answer.StatusCode, why
 	}
 	if err := CheckBody(answer.Body, r.Header.Get(wire.HeaderRequest)); err != nil {
-		return http.StatusBadGateway
+		return http.StatusBadGateway, err.Error()
+	}
+	return answer.StatusCode, ""
+}
+
+// printable replaces what cannot be in a header.
+func printable(r rune) rune {
+	if r < ' ' || r > '~' {
+		return ' '
 	}
-	return answer.StatusCode
+	return r
 }
 
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, status, busy int, cut int64) {
