--- a/core/send.go
+++ b/core/send.go
@@ -146,8 +146,8 @@
 	n.emitRefusal(s, n.neverSent(s), reason)
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
 		parent.allowance.Return(&s.fromParent, s.allowance.Left())
-		parent.childFailed = true
 	}
+	n.markChildFailed(s)
 	n.sendPool = append(n.sendPool, s)
 }
 
@@ -233,10 +233,15 @@
 func (n *Node) finishWith(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	n.cancelTries(s)
 	n.emitRefusal(s, outcome, reason)
+	n.markChildFailed(s)
+	n.dropSend(s)
+}
+
+// markChildFailed tells the call that made this one that its target may pass on a failure.
+func (n *Node) markChildFailed(s *send) {
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
 		parent.childFailed = true
 	}
-	n.dropSend(s)
 }
 
 func (n *Node) emitRefusal(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
--- a/core/tries.go
+++ b/core/tries.go
@@ -50,6 +50,8 @@
 	}
 	if result.Status < http.StatusInternalServerError {
 		n.parts.Budget.Succeeded(n.now, s.service)
+	} else {
+		n.markChildFailed(s)
 	}
 	n.answer(s, attempt)
 }
