Answer calls on connections that were idle when a drain began

Cause: Shell.Drain called SetKeepAlivesEnabled(false), which closes the connections of callers that look idle at once. Ruled out: the relays (callers do not use them) and the end of the listeners (it comes a second later).

Now each answer of a draining node, also that of POST /tickets, closes its connection, and idle ones stay open until the node ends.

--- a/shell/accept.go
+++ b/shell/accept.go
@@ -89,6 +89,7 @@
 	if parsed.AttemptID != "" {
 		wire.SetAnswer(w.Header(), parsed.AttemptID, gypsumrail.Result{Outcome: problem.Outcome, Reason: problem.Reason})
 	}
+	s.farewell(w, parsed.Arrival.Origin)
 	problem.Request = parsed.Arrival.Request
 	wire.WriteProblem(w, problem)
 	a := &parsed.Arrival
--- a/shell/listen.go
+++ b/shell/listen.go
@@ -125,6 +125,7 @@
 	calls := s.accept(gypsumrail.FromCaller)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/tickets" && r.Header.Get(wire.HeaderService) == "" {
+			s.farewell(w, gypsumrail.FromCaller)
 			router.ServeHTTP(w, r)
 			return
 		}
--- a/shell/pass.go
+++ b/shell/pass.go
@@ -29,6 +29,7 @@
 // pass writes the answer of a call.
 func (s *Shell) pass(w http.ResponseWriter, k *sink, m message, began time.Time) {
 	c := k.call
+	s.farewell(w, c.arrival.Origin)
 	fromPeer := c.arrival.Origin == gypsumrail.FromPeer
 	if fromPeer {
 		wire.SetAnswer(w.Header(), c.attemptID, m.result)
@@ -48,6 +49,14 @@
 	}
 }
 
+// farewell closes the connection of a caller with the answer of a draining node,
+// so that the caller looks for another one.
+func (s *Shell) farewell(w http.ResponseWriter, origin gypsumrail.Origin) {
+	if origin == gypsumrail.FromCaller && s.ready.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // passBody streams an answer and tells the reducer how it ended. An answer that
 // is not whole aborts the connection, so that it never looks whole.
 func (s *Shell) passBody(w http.ResponseWriter, k *sink, m message, began time.Time) {
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -113,9 +113,6 @@
 	return s
 }
 
-// callersServer is the index of the callers port in Shell.servers.
-const callersServer = 0
-
 // Run serves until the reducer says that the drain is complete or ctx ends.
 // With the end of ctx open calls are cut off.
 func (s *Shell) Run(ctx context.Context) error {
@@ -141,13 +138,12 @@
 }
 
 // Drain starts a graceful shutdown: the reducer announces that the instance
-// leaves, and Run returns when the calls in flight have ended.
+// leaves, and Run returns when the calls in flight have ended. Connections of
+// callers close with their next answer and not before: a call may already be on
+// its way on one that looks idle here.
 func (s *Shell) Drain() {
 	s.ready.drain()
 	s.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
-	// Idle connections of callers close with their next answer, so that callers
-	// look for another node.
-	s.servers[callersServer].SetKeepAlivesEnabled(false)
 }
 
 // Exiting logs that a second signal ends the process. It returns when the log is written.
