Say NotRun of a resend that has no key at all

Cause: core.neverSent says Unknown of each resend of a call that may not be repeated unless the home spoke. Of a resend without any key this is too careful: no attempt of it can have run. Its caller got Unknown with each fresh key and could never use one, which lost orders in trial's TestRollingReplacement when no node could issue a key in time. A malformed key still gives Unknown, since the whole one may have run.

go test ./core -run ResendWithoutKey: before Unknown, after NotRun.

--- a/core/keys.go
+++ b/core/keys.go
@@ -46,6 +46,8 @@
 	}
 	key, err := ledger.ParseKey(arrival.Key)
 	if err != nil {
+		// Without a key no attempt can have run anywhere.
+		s.homeSpoke = arrival.Key == ""
 		return gypsumrail.ReasonKeyRequired
 	}
 	s.key = key
