Refuse calls at a new node until it knows the other instances

Cause: a node opens its ports before it has read the list of instances. For the first milliseconds, and up to 100 ms after the list until the router got it, it ran calls on its target whose outgoing calls then failed with NoUpstream; an order was spent that way (status 502 kept under its key). Ruled out: ejection, and instances known as leaving (the lists were empty).

A call of a target may also ask three homes for their epoch instead of one, because the first may leave.

--- a/core/calls.go
+++ b/core/calls.go
@@ -36,7 +36,7 @@
 	ownKey      bool // the key was made here, so another home may be tried with a new key
 	homeSpoke   bool // the home itself said that the key has not run
 	resolving   bool
-	asksEpoch   bool // the home's epoch was asked for, once in the life of the call
+	epochAsks   int // homes that were asked for their epoch, at most epochAsksMax
 }
 
 // try is one attempt of a call.
--- a/core/config.go
+++ b/core/config.go
@@ -22,6 +22,8 @@
 func (n *Node) instancesRead(event *gypsumrail.Event) {
 	if n.adopt(event) {
 		n.parts.Directory.MergeList(n.now, event.Instances)
+		n.setUpstreams()
+		n.listed = true
 	}
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -75,6 +75,7 @@
 	reader     bool
 	defaults   bool
 	clocks     clocks
+	listed     bool // the list of instances was read
 	draining   bool
 	drainAt    gypsumrail.Millis
 	stopped    bool
@@ -97,7 +98,7 @@
 		epochs:   make(map[string]epoch),
 		tickets:  make(map[gypsumrail.CallID]ticket),
 		callers:  make(map[string]gypsumrail.Millis),
-		clocks:   clocks{tick: noTick, upstreams: -upstreamsEvery},
+		clocks:   clocks{tick: noTick, began: noTick, upstreams: -upstreamsEvery},
 	}
 }
 
@@ -161,6 +162,9 @@
 	n.hints = n.hints[:0]
 	n.reported = false
 	n.now = max(n.now, event.At)
+	if n.clocks.began == noTick {
+		n.clocks.began = n.now
+	}
 	n.random.Seed(event.Random, uint64(event.Call))
 }
 
--- a/core/serve.go
+++ b/core/serve.go
@@ -81,6 +81,8 @@
 		return gypsumrail.ReasonDraining
 	case len(n.serves) >= callsMax:
 		return gypsumrail.ReasonOverload
+	case !v.local && n.blind(v.class):
+		return gypsumrail.ReasonNoUpstream
 	case v.hop >= n.settings.DepthMax:
 		return gypsumrail.ReasonTooDeep
 	case v.deadline <= n.now:
--- a/core/settle.go
+++ b/core/settle.go
@@ -22,17 +22,21 @@
 	})
 }
 
+// epochAsksMax bounds the upstreams that are asked for their epoch for one call.
+// One question is not enough: the upstream that was asked may be leaving.
+const epochAsksMax = 3
+
 // askEpoch asks an upstream for its epoch, without which a key cannot name it as
 // the home of an outgoing call.
 func (n *Node) askEpoch(s *send) bool {
-	if s.asksEpoch {
+	if s.epochAsks >= epochAsksMax {
 		return false
 	}
 	home, reason := n.parts.Router.Choose(n.now, n.choice(s))
 	if reason != gypsumrail.ReasonNone {
 		return false
 	}
-	s.asksEpoch = true
+	s.epochAsks++
 	s.resolving = true
 	n.emit(gypsumrail.Effect{Kind: gypsumrail.AskResolve, Call: s.call, To: home})
 	return true
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -4,6 +4,7 @@
 
 // clocks holds the times of what the tick drives.
 type clocks struct {
+	began     gypsumrail.Millis // time of the first step
 	tick      gypsumrail.Millis
 	observe   gypsumrail.Millis
 	gossip    gypsumrail.Millis
