--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -27,6 +27,7 @@
 	assembled.Limiter = s
 	n := core.New(core.Settings{}, assembled)
 	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: labRecords(8), Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: []gypsumrail.Instance{self}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
 	return n, s
 }
 
