Build the policies of replays from the parts of the node

The replay had its own list of parts. Its routers now also take cold start and zone delay from the records, as those of nodes do.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,12 +6,9 @@
 import (
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/ledger"
 	"github.com/gypsumrail/gypsumrail/limit"
-	"github.com/gypsumrail/gypsumrail/member"
+	"github.com/gypsumrail/gypsumrail/parts"
 	"github.com/gypsumrail/gypsumrail/queue"
-	"github.com/gypsumrail/gypsumrail/retry"
-	"github.com/gypsumrail/gypsumrail/revise"
 	"github.com/gypsumrail/gypsumrail/route"
 	"github.com/gypsumrail/gypsumrail/shed"
 )
@@ -58,33 +55,34 @@
 	if target := records.Targets[self.Name]; target != nil {
 		slots = target.Slots
 	}
-	parts := core.Parts{
-		Limiter:   limit.NewStatic(slots),
-		Queue:     queue.NewFIFO(queue.Settings{}),
-		Shedder:   shed.None{},
-		Router:    route.NewRoundRobin(),
-		Budget:    unlimited{},
-		Ledger:    ledger.New(self, ledger.Settings{}),
-		Directory: member.New(self, member.Settings{}),
-		Values:    revise.New(revise.Settings{}),
+	built := parts.New(self, parts.Settings{Route: route.Settings{Tuning: tuningOf(records)}})
+	if p.plainLimit {
+		built.Limiter = limit.NewStatic(slots)
 	}
 	if p.unbounded {
-		parts.Limiter = limit.Unlimited{}
+		built.Limiter = limit.Unlimited{}
 	}
-	if !p.plainLimit {
-		parts.Limiter = limit.New(limit.Settings{})
+	if p.plainQueue {
+		built.Queue = queue.NewFIFO(queue.Settings{})
 	}
-	if !p.plainQueue {
-		parts.Queue = queue.New(queue.Settings{})
+	if p.plainShed {
+		built.Shedder = shed.None{}
 	}
-	if !p.plainShed {
-		parts.Shedder = shed.New(shed.Settings{})
+	if p.plainRoute {
+		built.Router = route.NewRoundRobin()
 	}
-	if !p.plainRoute {
-		parts.Router = route.New(self, route.Settings{})
+	if p.plainRetry {
+		built.Budget = unlimited{}
 	}
-	if !p.plainRetry {
-		parts.Budget = retry.New(retry.Settings{})
+	return built
+}
+
+func tuningOf(records *gypsumrail.Records) func(string) route.Tuning {
+	return func(name string) route.Tuning {
+		service := records.Services[name]
+		if service == nil {
+			return route.Tuning{}
+		}
+		return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
 	}
-	return parts
 }
