Move kept answers and operators' lines out of package shell

Kept answers (kept) and the event stream and log queue (lines) stand on their own and are tested on their own.

--- /dev/null
+++ b/lines/stream.go
@@ -0,0 +1,91 @@
+// Package lines passes lines from a node's steps to operators: the stream of
+// events and the log. Neither may hold a step up, so both drop what their readers
+// do not take in time, and count it.
+package lines
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+const (
+	readersMax     = 4
+	readerLinesMax = 4096 // per reader; more are dropped
+)
+
+// Stream copies the reducer's events to operators. A slow reader loses lines
+// and never delays a step. It is safe for concurrent use.
+type Stream struct {
+	dropped atomic.Uint64
+	count   atomic.Int64 // readers; steps without any pay nothing
+
+	mu      sync.Mutex
+	readers map[chan []byte]bool
+	closed  bool
+}
+
+// NewStream returns a stream without readers.
+func NewStream() *Stream { return &Stream{readers: make(map[chan []byte]bool)} }
+
+// Open adds a reader. It reports false if there are too many.
+func (s *Stream) Open() (chan []byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.readers) >= readersMax {
+		return nil, false
+	}
+	reader := make(chan []byte, readerLinesMax)
+	s.readers[reader] = true
+	s.count.Add(1)
+	return reader, true
+}
+
+// Leave removes a reader.
+func (s *Stream) Leave(reader chan []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readers[reader] {
+		delete(s.readers, reader)
+		s.count.Add(-1)
+	}
+}
+
+// Close ends all readers.
+func (s *Stream) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for reader := range s.readers {
+		delete(s.readers, reader)
+		close(reader)
+	}
+	s.count.Store(0)
+}
+
+// Publish gives an event to the readers. Without any it costs nothing.
+func (s *Stream) Publish(event *gypsumrail.Event) {
+	if s.count.Load() == 0 {
+		return
+	}
+	line, err := json.Marshal(event)
+	if err != nil {
+		s.dropped.Add(1)
+		return
+	}
+	line = append(line, '\n')
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for reader := range s.readers {
+		select {
+		case reader <- line:
+		default:
+			s.dropped.Add(1)
+		}
+	}
+}
+
+// Dropped returns the lines that readers missed.
+func (s *Stream) Dropped() uint64 { return s.dropped.Load() }
--- a/shell/admin.go
+++ b/shell/admin.go
@@ -60,9 +60,9 @@
 		Node  any
 		Shell admin.Shell
 	}{node, admin.Shell{
-		Calls: len(s.calls), Answers: len(s.kept.answers),
+		Calls: len(s.calls), Answers: s.kept.Len(),
 		Ready:    s.ready.adopted.Load() && !s.ready.draining.Load(),
-		Watching: s.watching != nil, LinesDropped: s.lines.dropped.Load(), EventsDropped: s.stream.dropped.Load(),
+		Watching: s.watching != nil, LinesDropped: s.lines.Dropped(), EventsDropped: s.stream.Dropped(),
 		RecordsInForce: s.store.Revision(gypsumrail.ValueRecords),
 	}})
 	s.mu.Unlock()
@@ -75,12 +75,12 @@
 
 // events streams the reducer's events as JSON lines until the client leaves.
 func (s *Shell) events(c *gin.Context) {
-	reader, ok := s.stream.open()
+	reader, ok := s.stream.Open()
 	if !ok {
 		c.String(http.StatusServiceUnavailable, "too many readers\n")
 		return
 	}
-	defer s.stream.leave(reader)
+	defer s.stream.Leave(reader)
 	c.Header("Content-Type", "application/jsonl")
 	c.Status(http.StatusOK)
 	c.Writer.Flush()
--- a/shell/call.go
+++ b/shell/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/kept"
 	"github.com/gypsumrail/gypsumrail/link"
 	"github.com/gypsumrail/gypsumrail/wire"
 )
@@ -40,7 +41,7 @@
 type message struct {
 	answer  *http.Response
 	attempt int // of answer; 0 for the own target
-	kept    *keptAnswer
+	kept    *kept.Answer
 	problem *wire.Problem
 	result  gypsumrail.Result // for the headers to a peer
 }
@@ -134,7 +135,7 @@
 		Report: copyReport(e.Report), Hints: slices.Clone(e.Hints),
 	}
 	if e.Outcome == gypsumrail.Ran && e.Key != "" {
-		if k := s.kept.get(e.Key, c.arrival.Fingerprint); k != nil {
+		if k := s.kept.Get(e.Key, c.arrival.Fingerprint); k != nil {
 			result.Reason = gypsumrail.ReasonNone
 			c.deliver(message{kept: k, result: result})
 			return
--- a/shell/control.go
+++ b/shell/control.go
@@ -134,7 +134,7 @@
 	version, content, err := s.control.Pull(ctx, from.Address, wanted)
 	if err != nil {
 		if s.base.Err() == nil {
-			s.lines.log(NoticePullFailed, from.Name, gypsumrail.ReasonNone, err.Error())
+			s.lines.Put(NoticePullFailed, from.Name, gypsumrail.ReasonNone, err.Error())
 		}
 		return
 	}
--- a/shell/forward.go
+++ b/shell/forward.go
@@ -43,7 +43,7 @@
 		var result gypsumrail.Result
 		result, err = wire.ParseAnswer(header.Get(wire.HeaderAttemptID), answer.StatusCode, answer.Header)
 		if err != nil {
-			s.lines.log(NoticeForeignAnswer, to.Name, gypsumrail.ReasonBroken, err.Error())
+			s.lines.Put(NoticeForeignAnswer, to.Name, gypsumrail.ReasonBroken, err.Error())
 			_ = answer.Body.Close()
 			answer = nil
 		} else {
--- a/shell/listen.go
+++ b/shell/listen.go
@@ -152,7 +152,7 @@
 func (s *Shell) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
-	s.stream.close()
+	s.stream.Close()
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
@@ -166,6 +166,6 @@
 var _ io.Writer = (*faultWriter)(nil)
 
 func (f *faultWriter) Write(p []byte) (int, error) {
-	f.s.lines.log(NoticeServerFault, f.s.settings.Self.Name, gypsumrail.ReasonNone, strings.TrimSpace(string(p)))
+	f.s.lines.Put(NoticeServerFault, f.s.settings.Self.Name, gypsumrail.ReasonNone, strings.TrimSpace(string(p)))
 	return len(p), nil
 }
--- a/shell/node_test.go
+++ b/shell/node_test.go
@@ -165,26 +165,6 @@
 	t.Error("the stream ended without the event")
 }
 
-// Guards against a slow reader of events that holds up the node, and against
-// more readers than the bound.
-func TestStreamDrops(t *testing.T) {
-	s := newStream()
-	for range streamReadersMax {
-		if _, ok := s.open(); !ok {
-			t.Fatal("a reader was refused below the bound")
-		}
-	}
-	if _, ok := s.open(); ok {
-		t.Error("a reader over the bound was accepted")
-	}
-	for range streamLinesMax + 1 {
-		s.publish(&gypsumrail.Event{Kind: gypsumrail.Tick})
-	}
-	if s.dropped.Load() != streamReadersMax {
-		t.Errorf("%d lines were dropped", s.dropped.Load())
-	}
-}
-
 // Guards against an event that reaches the reducer after a pause before it knows of the pause.
 func TestPauseIsNoticedFirst(t *testing.T) {
 	var order []gypsumrail.EventKind
@@ -199,7 +179,7 @@
 	if len(order) != 3 || order[0] != gypsumrail.Tick {
 		t.Errorf("the reducer got %v", order)
 	}
-	s.lines.close()
+	s.lines.Close()
 }
 
 // Guards against a node that does not end with its drain, and against an egress
--- a/shell/pass.go
+++ b/shell/pass.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/kept"
 	"github.com/gypsumrail/gypsumrail/wire"
 )
 
@@ -39,8 +40,8 @@
 		wire.WriteProblem(w, *m.problem)
 		s.ended(c, began, m.result)
 	case m.kept != nil:
-		m.result.Status = m.kept.status
-		m.kept.write(w)
+		m.result.Status = m.kept.Status()
+		m.kept.Write(w)
 		s.ended(c, began, m.result)
 	default:
 		m.result.Status = m.answer.StatusCode
@@ -52,9 +53,9 @@
 // is not whole aborts the connection, so that it never looks whole.
 func (s *Shell) passBody(w http.ResponseWriter, k *sink, m message, began time.Time) {
 	c := k.call
-	var keep *keeper
+	var keep *kept.Keeper
 	if m.attempt == 0 {
-		keep = s.keeperFor(c, m.answer)
+		keep = kept.NewKeeper(c.run.key, c.arrival.Fingerprint, m.answer)
 	}
 	writeHead(w, m.answer)
 	err := stream32(w, m.answer, keep)
@@ -99,7 +100,7 @@
 
 // stream32 copies a body with one chunk of memory. The writer's flow control
 // slows the reader. The error is errCallerLeft, or tells why the body is not whole.
-func stream32(w http.ResponseWriter, answer *http.Response, keep *keeper) error {
+func stream32(w http.ResponseWriter, answer *http.Response, keep *kept.Keeper) error {
 	control := http.NewResponseController(w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	buffer, _ := chunks.Get().(*[chunkBytes]byte)
@@ -107,7 +108,7 @@
 	for {
 		n, err := answer.Body.Read(buffer[:])
 		if n > 0 {
-			keep.take(buffer[:n])
+			keep.Take(buffer[:n])
 			_ = control.SetWriteDeadline(time.Now().Add(writeTime))
 			if _, werr := w.Write(buffer[:n]); werr != nil {
 				return fmt.Errorf("%w: %w", errCallerLeft, werr)
--- a/shell/ports.go
+++ b/shell/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/lines"
 )
 
 // Reducer makes the decisions. The shell calls it from one goroutine at a time.
@@ -13,10 +14,7 @@
 }
 
 // Logger takes the numbered log events. The shell calls it from one goroutine.
-type Logger interface {
-	// Log takes a notice about a subject. The reason and the detail may be empty.
-	Log(notice gypsumrail.Notice, subject string, reason gypsumrail.Reason, detail string)
-}
+type Logger = lines.Logger
 
 // Notices of the shell.
 const (
--- a/shell/roles_test.go
+++ b/shell/roles_test.go
@@ -60,7 +60,7 @@
 	n.empty()
 }
 
-// Guards against a kept answer that is lost, too large, or given to another request.
+// Guards against a kept answer that is lost or given to another request.
 func TestKeptAnswer(t *testing.T) {
 	worker := target(t, stubs.TargetSettings{})
 	seen := map[string]bool{}
@@ -87,19 +87,6 @@
 	if err != nil || answer.StatusCode != http.StatusConflict {
 		t.Errorf("another request under the key got %v, %v", answer, err)
 	}
-	k := newKept()
-	for i := range keptMax + 10 {
-		k.put(strings.Repeat("k", i+1), &keptAnswer{})
-	}
-	if len(k.answers) != keptMax || len(k.order) != keptMax {
-		t.Errorf("%d answers are kept", len(k.answers))
-	}
-	large := &keeper{answer: &keptAnswer{}}
-	large.take(make([]byte, keptBytesMax))
-	large.take([]byte{1})
-	if large.answer != nil {
-		t.Error("a large answer is kept")
-	}
 }
 
 // Guards against a call that may not be repeated whose answer is lost because
@@ -126,8 +113,8 @@
 	}
 	n.shell.mu.Lock()
 	defer n.shell.mu.Unlock()
-	if answer := n.shell.kept.answers["k-1"]; answer == nil || string(answer.body) != "kept" {
-		t.Errorf("kept %+v", answer)
+	if n.shell.kept.Len() != 1 {
+		t.Errorf("%d answers are kept", n.shell.kept.Len())
 	}
 }
 
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -22,6 +22,8 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/feed"
+	"github.com/gypsumrail/gypsumrail/kept"
+	"github.com/gypsumrail/gypsumrail/lines"
 	"github.com/gypsumrail/gypsumrail/link"
 	"github.com/gypsumrail/gypsumrail/peer"
 )
@@ -63,8 +65,8 @@
 	feed    *feed.Client
 	store   *feed.Store
 	buffers *link.Buffers
-	lines   *lines
-	stream  *stream
+	lines   *lines.Log
+	stream  *lines.Stream
 	limit   chan struct{} // control messages under way
 	ready   readiness
 	applied sync.Mutex     // orders the values that are offered to the reducer
@@ -79,7 +81,7 @@
 	waiters  map[gypsumrail.CallID]chan gypsumrail.Effect
 	seen     map[string]gypsumrail.Instance
 	self     gypsumrail.Instance
-	kept     *kept
+	kept     *kept.Answers
 	watching context.CancelFunc // nil while the platform is not watched
 	stopping bool
 }
@@ -94,16 +96,16 @@
 		base: base, cancel: cancel, stopped: make(chan struct{}),
 		targets: link.NewPool(), peers: link.NewPool(), quiet: link.NewPool(),
 		store: feed.NewStore(), buffers: link.NewBuffers(buffersMax),
-		stream: newStream(), limit: make(chan struct{}, controlMax),
+		stream: lines.NewStream(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only; tokens use crypto/rand
 		calls:   make(map[gypsumrail.CallID]*call),
 		tokens:  make(map[string]*call),
 		waiters: make(map[gypsumrail.CallID]chan gypsumrail.Effect),
 		seen:    make(map[string]gypsumrail.Instance),
 		self:    settings.Self,
-		kept:    newKept(),
+		kept:    kept.New(),
 	}
-	s.lines = newLines(parts.Logger)
+	s.lines = lines.NewLog(parts.Logger, NoticeLinesDropped)
 	s.quiet.SetConns(quietConnsMax)
 	s.control = peer.NewClient(s.quiet, link.NewFresh())
 	s.feed = feed.NewClient(settings.Platform, s.quiet)
@@ -120,7 +122,7 @@
 func (s *Shell) Run(ctx context.Context) error {
 	defer s.cancel()
 	s.serve()
-	s.lines.log(NoticeNodeStarted, s.settings.Self.Name, gypsumrail.ReasonNone, s.settings.Self.Address)
+	s.lines.Put(NoticeNodeStarted, s.settings.Self.Name, gypsumrail.ReasonNone, s.settings.Self.Address)
 	var work sync.WaitGroup
 	work.Go(s.tick)
 	work.Go(s.start)
@@ -134,8 +136,8 @@
 	s.targets.Close()
 	s.peers.Close()
 	s.quiet.Close()
-	s.lines.log(NoticeNodeStopped, s.settings.Self.Name, gypsumrail.ReasonNone, "")
-	s.lines.close()
+	s.lines.Put(NoticeNodeStopped, s.settings.Self.Name, gypsumrail.ReasonNone, "")
+	s.lines.Close()
 	return nil
 }
 
@@ -151,8 +153,8 @@
 
 // Exiting logs that a second signal ends the process. It returns when the log is written.
 func (s *Shell) Exiting() {
-	s.lines.log(NoticeSecondSignal, s.settings.Self.Name, gypsumrail.ReasonNone, "")
-	s.lines.close()
+	s.lines.Put(NoticeSecondSignal, s.settings.Self.Name, gypsumrail.ReasonNone, "")
+	s.lines.Close()
 }
 
 // tickEvery is the time between two ticks.
--- a/shell/step.go
+++ b/shell/step.go
@@ -35,7 +35,7 @@
 	}
 	event.At = now
 	event.Random = s.random.Uint64()
-	s.stream.publish(event)
+	s.stream.Publish(event)
 	effects := s.parts.Reducer.Step(event)
 	for i := range effects {
 		s.perform(now, &effects[i])
@@ -82,7 +82,7 @@
 		if e.Notice == gypsumrail.NoticeDefaultsInUse {
 			s.ready.adopt()
 		}
-		s.lines.log(e.Notice, e.Subject, e.Reason, "")
+		s.lines.Put(e.Notice, e.Subject, e.Reason, "")
 	case gypsumrail.Stop:
 		if !s.stopping {
 			s.stopping = true
--- a/shell/target.go
+++ b/shell/target.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/kept"
 	"github.com/gypsumrail/gypsumrail/link"
 	"github.com/gypsumrail/gypsumrail/wire"
 )
@@ -76,18 +77,18 @@
 // finishUnread reads an answer whose caller has left to its end and keeps it if
 // the call may not be repeated.
 func (s *Shell) finishUnread(c *call, answer *http.Response) {
-	s.finishUnreadWith(c, answer, s.keeperFor(c, answer))
+	s.finishUnreadWith(c, answer, kept.NewKeeper(c.run.key, c.arrival.Fingerprint, answer))
 }
 
 // finishUnreadWith is finishUnread for an answer that was read in part.
-func (s *Shell) finishUnreadWith(c *call, answer *http.Response, keep *keeper) {
+func (s *Shell) finishUnreadWith(c *call, answer *http.Response, keep *kept.Keeper) {
 	defer func() { _ = answer.Body.Close() }()
 	buffer, _ := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(buffer)
 	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: answer.StatusCode}
 	for {
 		n, err := answer.Body.Read(buffer[:])
-		keep.take(buffer[:n])
+		keep.Take(buffer[:n])
 		if err != nil {
 			if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 				result.Outcome, result.Reason = gypsumrail.Unknown, gypsumrail.ReasonBroken
@@ -99,14 +100,14 @@
 }
 
 // endRun tells the reducer that a run ended, which frees its slot.
-func (s *Shell) endRun(c *call, kind gypsumrail.EventKind, result gypsumrail.Result, keep *keeper) {
+func (s *Shell) endRun(c *call, kind gypsumrail.EventKind, result gypsumrail.Result, keep *kept.Keeper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := c.run
 	delete(s.tokens, r.token)
 	r.cancel()
-	if keep != nil && keep.answer != nil && result.Outcome == gypsumrail.Ran {
-		s.kept.put(keep.key, keep.answer)
+	if result.Outcome == gypsumrail.Ran {
+		s.kept.Put(keep)
 	}
 	s.step(&gypsumrail.Event{Kind: kind, Call: c.id, Result: &result})
 	s.release(c)
--- a/shell/values.go
+++ b/shell/values.go
@@ -88,12 +88,12 @@
 	return func(value feed.Value, err error) {
 		if err != nil {
 			if !away.Swap(true) {
-				s.lines.log(NoticePlatformAway, string(name), gypsumrail.ReasonNone, err.Error())
+				s.lines.Put(NoticePlatformAway, string(name), gypsumrail.ReasonNone, err.Error())
 			}
 			return
 		}
 		if away.Swap(false) {
-			s.lines.log(NoticePlatformBack, string(name), gypsumrail.ReasonNone, "")
+			s.lines.Put(NoticePlatformBack, string(name), gypsumrail.ReasonNone, "")
 		}
 		s.offer(value, gypsumrail.Instance{})
 	}
@@ -127,7 +127,7 @@
 		err = s.store.Offer(value)
 	}
 	if err != nil {
-		s.lines.log(notice, string(value.Version.Name), gypsumrail.ReasonNone, err.Error())
+		s.lines.Put(notice, string(value.Version.Name), gypsumrail.ReasonNone, err.Error())
 		return
 	}
 	s.post(&event)
