--- a/core/calls.go
+++ b/core/calls.go
@@ -36,7 +36,7 @@
 	ownKey      bool // the key was made here, so another home may be tried with a new key
 	homeSpoke   bool // the home itself said that the key has not run
 	resolving   bool
-	asksEpoch   bool // the home's epoch was asked for, once in the life of the call
+	epochAsks   int // homes that were asked for their epoch, at most epochAsksMax
 }
 
 // try is one attempt of a call.
@@ -75,6 +75,7 @@
 	children    []gypsumrail.CallID
 	childSince  gypsumrail.Millis
 	childWait   gypsumrail.Millis
+	childFailed bool     // an outgoing call had no answer, which the target may pass on
 	childKeys   []string // idempotency keys that the target used for outgoing calls
 }
 
--- a/core/send.go
+++ b/core/send.go
@@ -125,6 +125,8 @@
 		return gypsumrail.ReasonOverload
 	case n.draining && s.origin == gypsumrail.FromCaller:
 		return gypsumrail.ReasonDraining
+	case s.origin == gypsumrail.FromCaller && n.blind(s.class):
+		return gypsumrail.ReasonNoUpstream
 	case s.hop >= n.settings.DepthMax:
 		return gypsumrail.ReasonTooDeep
 	case s.deadline <= n.now:
@@ -147,6 +149,7 @@
 	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
 		parent.allowance.Return(&s.fromParent, s.allowance.Left())
 	}
+	n.markChildFailed(s)
 	n.sendPool = append(n.sendPool, s)
 }
 
@@ -232,9 +235,17 @@
 func (n *Node) finishWith(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	n.cancelTries(s)
 	n.emitRefusal(s, outcome, reason)
+	n.markChildFailed(s)
 	n.dropSend(s)
 }
 
+// markChildFailed tells the call that made this one that its target may pass on a failure.
+func (n *Node) markChildFailed(s *send) {
+	if parent := n.serves[s.parent]; parent != nil && s.parent != 0 {
+		parent.childFailed = true
+	}
+}
+
 func (n *Node) emitRefusal(s *send, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	n.count(outcome, reason)
 	effect := gypsumrail.Effect{
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -79,7 +79,7 @@
 	hintAt    gypsumrail.Millis
 }
 
-// New returns the limit of a cold target.
+// New returns the limit of a target of which nothing is known.
 func New(settings Settings) *Adaptive {
 	settings = settings.withDefaults()
 	a := &Adaptive{settings: settings, raiseWait: raiseWaitMin, cutWait: cutWaitMin}
@@ -91,13 +91,16 @@
 	a.ceiling = ceiling
 	a.limit = max(1, int(math.Ceil(float64(ceiling)*a.settings.Initial)))
 	a.base = a.limit
+	// Nothing is known against half of the ceiling, so a cold target opens up to it
+	// like one that recovered. The other half follows by a probe, which confirms it.
+	a.restore = ceiling / probeFactor
 }
 
 // Limit returns the number of calls that may run at once, from 1 to the ceiling.
 func (a *Adaptive) Limit() int { return a.limit }
 
 // SetCeiling sets the most that the records allow. The first ceiling sets the
-// limit at which a cold target starts; values below 1 count as 1.
+// limit at which a target starts; values below 1 count as 1.
 func (a *Adaptive) SetCeiling(slots int) {
 	slots = max(1, slots)
 	if !a.known {
@@ -158,13 +161,16 @@
 	case m.badShare > badAbove:
 		a.shrink(now, m)
 	case a.restore > a.limit:
-		// Nothing was learned about the capacity, so no comparison is needed.
-		a.set(min(a.restore, a.limit*probeFactor))
+		// Nothing was learned about the capacity, so no comparison is needed. One
+		// window of good calls opens half of the limit: doubling from 1 took a target
+		// of 220 slots 12 s after a restart.
+		a.set(min(a.restore, max(a.limit, a.restore/probeFactor/probeFactor)*probeFactor))
 		if a.limit == a.restore {
 			a.restore = 0
 		}
 	case !bound:
 		a.limit, a.phase = a.base, steady
+		a.confirmIdle(m)
 	case a.phase == probingDown:
 		a.endDown(now, m)
 	case a.phase == probingUp:
@@ -174,6 +180,18 @@
 	}
 }
 
+// confirmIdle takes the time per call while at most half of the limit is in use
+// as the right one: no probe is needed to learn what the target does unhindered.
+func (a *Adaptive) confirmIdle(m measurement) {
+	if m.good < samplesMin || m.inFlight > float64(a.limit)/probeFactor {
+		return
+	}
+	if a.confirmed == 0 {
+		a.confirmed = m.self
+	}
+	a.confirmed += selfFresh * (m.self - a.confirmed)
+}
+
 // shrink follows calls that were refused or failed. A target that refuses above
 // its slots shows them: no call is good with more in flight. If calls are bad
 // at any concurrency, the limit shrinks by their share until they are good again.
--- a/shell/shell.go
+++ b/shell/shell.go
@@ -47,6 +47,7 @@
 	Target   string              // IP address and port of the own target
 	Platform string              // IP address and port of the platform
 	Seeds    []string            // IP addresses and ports of peers to ask at the start
+	Dial     link.Dial           // opens connections to peers and the platform; nil for the usual way
 }
 
 // Shell runs one node.
@@ -94,7 +95,7 @@
 	s := &Shell{
 		settings: settings, parts: parts, listeners: listeners,
 		base: base, cancel: cancel, stopped: make(chan struct{}),
-		targets: link.NewPool(), peers: link.NewPool(), quiet: link.NewPool(),
+		targets: link.NewPool(), peers: link.NewPoolVia(settings.Dial), quiet: link.NewPoolVia(settings.Dial),
 		store: feed.NewStore(), buffers: link.NewBuffers(buffersMax),
 		stream: lines.NewStream(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only; tokens use crypto/rand
@@ -107,16 +108,13 @@
 	}
 	s.lines = lines.NewLog(parts.Logger, NoticeLinesDropped)
 	s.quiet.SetConns(quietConnsMax)
-	s.control = peer.NewClient(s.quiet, link.NewFresh())
+	s.control = peer.NewClient(s.quiet, link.NewFreshVia(settings.Dial))
 	s.feed = feed.NewClient(settings.Platform, s.quiet)
 	s.lastTick = parts.Clock.Now()
 	s.servers = s.newServers()
 	return s
 }
 
-// callersServer is the index of the callers port in Shell.servers.
-const callersServer = 0
-
 // Run serves until the reducer says that the drain is complete or ctx ends.
 // With the end of ctx open calls are cut off.
 func (s *Shell) Run(ctx context.Context) error {
@@ -142,13 +140,12 @@
 }
 
 // Drain starts a graceful shutdown: the reducer announces that the instance
-// leaves, and Run returns when the calls in flight have ended.
+// leaves, and Run returns when the calls in flight have ended. Connections of
+// callers close with their next answer and not before: a call may already be on
+// its way on one that looks idle here.
 func (s *Shell) Drain() {
 	s.ready.drain()
 	s.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
-	// Idle connections of callers close with their next answer, so that callers
-	// look for another node.
-	s.servers[callersServer].SetKeepAlivesEnabled(false)
 }
 
 // Exiting logs that a second signal ends the process. It returns when the log is written.
