--- a/shell/call_test.go
+++ b/shell/call_test.go
@@ -182,6 +182,19 @@
 	}
 }
 
+// Guards against a slow call that is taken for a silent connection because its
+// receipts stay out after the first.
+func TestSlowCall(t *testing.T) {
+	worker := target(t, stubs.TargetSettings{ServiceTime: link.NodeSilence.Next + 500*time.Millisecond})
+	entry, _, _ := pair(t, worker.Address(), options{})
+	if err := whole(t.Context(), entry.ports.Callers, "r-1", nil); err != nil {
+		t.Error(err)
+	}
+	if n := entry.count(gypsumrail.AttemptFailed); n != 0 {
+		t.Errorf("%d attempts failed", n)
+	}
+}
+
 // Guards against an answer of another attempt that reaches a caller.
 func TestForeignAnswer(t *testing.T) {
 	entry, _, _ := pair(t, "127.0.0.1:1", options{})
