Choose a cold upstream also after its service was empty

Cause: an empty list drops the service with the time until which one of its upstreams is cold, while an upstream with calls outstanding is kept. When it is listed again nothing let a cold upstream through, and Choose said NoUpstream. Found by TestRouterMatchesFacts with a random seed; TestColdAfterEmptyList fails before ('random 0: chose "", NoUpstream') and passes after.

--- a/route/list.go
+++ b/route/list.go
@@ -86,6 +86,9 @@
 		u.listed++
 		u.update(now, entry)
 		u.offers = s.offer(entry.Capabilities)
+		// The upstream may come from another list object of the service, which was
+		// dropped while it was empty.
+		s.coldUntil = max(s.coldUntil, u.coldUntil)
 		if entry.Instance.Zone == r.self.Zone {
 			s.own++
 		}
--- a/route/rules_test.go
+++ b/route/rules_test.go
@@ -283,3 +283,27 @@
 		}
 	}
 }
+
+// Guards against a cold upstream that is never chosen after its service was
+// empty for a while: the empty list forgot that an upstream could be cold. Found
+// by TestRouterMatchesFacts.
+func TestColdAfterEmptyList(t *testing.T) {
+	r := New(gypsumrail.Instance{Zone: "a"}, Settings{})
+	list := func(names ...string) {
+		var entries []gypsumrail.Upstream
+		for _, n := range names {
+			entries = append(entries, gypsumrail.Upstream{Slots: 4, Instance: gypsumrail.Instance{Name: n, Zone: "a", State: gypsumrail.Live, Incarnation: 1}})
+		}
+		r.SetUpstreams(0, "s", entries)
+	}
+	list("warm")
+	list("cold")
+	r.Sent(0, "cold") // keeps the upstream while it is not listed
+	list()
+	list("cold")
+	for random := range uint64(100) {
+		if to, reason := r.Choose(0, gypsumrail.Choice{Service: "s", Random: random}); to.Name != "cold" {
+			t.Fatalf("random %d: chose %q, %s", random, to.Name, reason)
+		}
+	}
+}
