Eject upstreams whose target is dead, for at most 2 s

Cause: the node of a dead target refuses each call at once with TargetFailed. The sender counted that as an answer, so the upstream was never ejected and, without a wait, looked fast. TestEjectionDoubles now wants 1, 2, 2, ...

--- a/core/serve.go
+++ b/core/serve.go
@@ -234,7 +234,7 @@
 	}
 	t.open = false
 	s.allowance.Return(&t.portion, left)
-	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect {
+	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect && reason != gypsumrail.ReasonTargetFailed {
 		n.parts.Router.Answered(n.now, n.self.Name, noLatency, n.ownReport())
 	} else {
 		n.parts.Router.Failed(n.now, n.self.Name, reason)
--- a/core/tries.go
+++ b/core/tries.go
@@ -25,11 +25,16 @@
 	t.open = passes
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.learn(t.upstream, s.service, result)
-	latency := n.now - t.sent
-	if !passes {
-		latency = noLatency
+	switch {
+	case passes:
+		n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
+	case result.Reason == gypsumrail.ReasonTargetFailed:
+		// The node lives but its target does not, so it must not attract calls by
+		// refusing them fast.
+		n.parts.Router.Failed(n.now, t.upstream.Name, result.Reason)
+	default:
+		n.parts.Router.Answered(n.now, t.upstream.Name, noLatency, result.Report)
 	}
-	n.parts.Router.Answered(n.now, t.upstream.Name, latency, result.Report)
 	if passes {
 		n.ran(s, event.Attempt, result)
 		return
--- a/route/eject.go
+++ b/route/eject.go
@@ -9,7 +9,10 @@
 const (
 	failuresToEject = 5
 	ejectFirst      = gypsumrail.Second
-	ejectMax        = 30 * gypsumrail.Second
+	// ejectMax is the recovery time that the requirements allow: an upstream that
+	// works again must not stay out for longer. Trying a dead one costs each sender
+	// one refused attempt in this time.
+	ejectMax = 2 * gypsumrail.Second
 )
 
 // fail counts a failure. At the fifth in a row the upstream is ejected; after
