Probe only targets that complete enough calls to tell

Cause: a probe downwards halves the limit until it has its samples. On a target of 8 slots at a fifth of its speed that took 4 s, and the rates of so few calls differ by chance anyway. Such a target now keeps its limit, and its slower time counts as right, which also keeps a probe from firing when it recovers. A limit is doubted from 1.6 times the confirmed time in place of 1.3.

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -24,7 +24,7 @@
 	raiseSamples = 0.4
 	// slowerAbove is the ratio of the time per call to the confirmed one from
 	// which the limit is doubted.
-	slowerAbove = 1.3
+	slowerAbove = 1.6
 	// selfFresh is the weight of the last window in the time per call.
 	selfFresh = 0.3
 	// badAbove is the share of refused or failed calls from which the limit shrinks.
@@ -32,6 +32,10 @@
 	// boundAbove is the share of the limit that must be in use for a measurement
 	// to say anything about the limit.
 	boundAbove = 0.8
+	// cutSamples is the number of completions in a measurement below which no probe
+	// downwards follows. A target that completes fewer in ten windows would run at
+	// half of its limit for seconds, and the rates of so few calls differ by chance.
+	cutSamples = 100
 	// samplesMin is the number of completions below which a long window says nothing.
 	samplesMin = 20
 	// settleLatencies is how many latencies pass after a change of the limit
@@ -228,6 +232,9 @@
 	case a.limit < a.ceiling && now >= a.raiseAt:
 		a.before, a.phase = m, probingUp
 		a.limit = min(a.ceiling, a.limit*probeFactor)
+	case doubted && m.good < cutSamples:
+		// Too few calls to tell; a target that is merely slower needs its limit.
+		a.confirmed = max(a.self, m.self)
 	case a.limit > 1 && doubted && now >= a.cutAt:
 		a.before, a.phase = m, probingDown
 		a.limit /= probeFactor
