--- a/stubs/target.go
+++ b/stubs/target.go
@@ -189,9 +189,10 @@
 	pause(r, service)
 	status := http.StatusOK
 	for _, name := range t.settings.Calls {
-		if below := t.call(r, egress, name); below >= http.StatusBadRequest {
+		if below, reason := t.call(r, egress, name); below >= http.StatusBadRequest {
 			// 429 or 503 would tell that this target itself is overloaded.
 			status = http.StatusBadGateway
+			w.Header().Set(HeaderBelow, fmt.Sprintf("%s %d %s", name, below, reason))
 			break
 		}
 	}
@@ -225,12 +226,16 @@
 	t.busy--
 }
 
-// call makes an outgoing call through the node and returns its status. An
-// answer that is not whole, or of another request, gives 502.
-func (t *Target) call(r *http.Request, egress, service string) int {
+// HeaderBelow tells on a target's answer which of its own calls failed: the
+// service, the status and the node's reason.
+const HeaderBelow = "X-Failed-Below"
+
+// call makes an outgoing call through the node and returns its status and the
+// reason of a refusal. An answer that is not whole, or of another request, gives 502.
+func (t *Target) call(r *http.Request, egress, service string) (status int, reason string) {
 	out, err := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+egress+"/"+service, http.NoBody)
 	if err != nil {
-		return http.StatusInternalServerError
+		return http.StatusInternalServerError, ""
 	}
 	for _, name := range []string{wire.HeaderCall, wire.HeaderRequest, "Traceparent"} {
 		if value := r.Header.Get(name); value != "" {
@@ -240,17 +245,21 @@
 	out.Header.Set(wire.HeaderService, service)
 	answer, err := t.client.Do(out)
 	if err != nil {
-		return http.StatusBadGateway
+		return http.StatusBadGateway, "broken"
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, answer.Body)
-		return answer.StatusCode
+		below := answer.Header.Get(HeaderBelow)
+		if below != "" {
+			below = "/ " + below
+		}
+		return answer.StatusCode, answer.Header.Get(wire.HeaderReason) + below
 	}
 	if err := CheckBody(answer.Body, r.Header.Get(wire.HeaderRequest)); err != nil {
-		return http.StatusBadGateway
+		return http.StatusBadGateway, "not whole"
 	}
-	return answer.StatusCode
+	return answer.StatusCode, ""
 }
 
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, status, busy int, cut int64) {
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -216,3 +216,29 @@
 	d.Platform.Publish(gypsumrail.ValueInstances, content)
 	return nil
 }
+
+// Named returns the instance with a name.
+func (d *Deployment) Named(name string) *Instance {
+	for _, i := range d.Instances {
+		if i.Name == name {
+			return i
+		}
+	}
+	return nil
+}
+
+// InZone returns the instances of a zone.
+func (d *Deployment) InZone(zone string) []*Instance {
+	var out []*Instance
+	for _, i := range d.Instances {
+		if i.Zone == zone {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Separate separates a zone from another one, or from the platform if that is
+// empty: what the nodes of the zone have open goes silent and they can open
+// nothing new. The other direction stays.
+func (d *Deployment) Separate(from, to string, on bool) { d.network.separate(from, to, on) }
