--- a/proc/fleet_test.go
+++ b/proc/fleet_test.go
@@ -295,7 +295,7 @@
 	if answer.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(io.LimitReader(answer.Body, 300))
 		return fmt.Errorf("status %d, outcome %s: %s; %s", answer.StatusCode, answer.Header.Get(wire.HeaderOutcome), body,
-			answer.Header.Get(stubs.HeaderFailed))
+			answer.Header.Get(stubs.HeaderBelow))
 	}
 	return stubs.CheckBody(answer.Body, request)
 }
--- a/stubs/target.go
+++ b/stubs/target.go
@@ -6,19 +6,12 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail/wire"
 )
 
-// HeaderFailed tells on a target's answer which outgoing call failed and why.
-const HeaderFailed = "X-Failed-Call"
-
-// failureMax bounds what is told of a failed outgoing call.
-const failureMax = 512
-
 // ranMax bounds the requests that a target remembers.
 const ranMax = 1 << 18
 
@@ -196,11 +189,10 @@
 	pause(r, service)
 	status := http.StatusOK
 	for _, name := range t.settings.Calls {
-		below, why := t.call(r, egress, name)
-		if below >= http.StatusBadRequest {
+		if below, reason := t.call(r, egress, name); below >= http.StatusBadRequest {
 			// 429 or 503 would tell that this target itself is overloaded.
 			status = http.StatusBadGateway
-			w.Header().Set(HeaderFailed, fmt.Sprintf("%s %d %s", name, below, why))
+			w.Header().Set(HeaderBelow, fmt.Sprintf("%s %d %s", name, below, reason))
 			break
 		}
 	}
@@ -234,12 +226,16 @@
 	t.busy--
 }
 
-// call makes an outgoing call through the node and returns its status and why
-// it failed. An answer that is not whole, or of another request, gives 502.
-func (t *Target) call(r *http.Request, egress, service string) (status int, why string) {
+// HeaderBelow tells on a target's answer which of its own calls failed: the
+// service, the status and the node's reason.
+const HeaderBelow = "X-Failed-Below"
+
+// call makes an outgoing call through the node and returns its status and the
+// reason of a refusal. An answer that is not whole, or of another request, gives 502.
+func (t *Target) call(r *http.Request, egress, service string) (status int, reason string) {
 	out, err := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+egress+"/"+service, http.NoBody)
 	if err != nil {
-		return http.StatusInternalServerError, err.Error()
+		return http.StatusInternalServerError, ""
 	}
 	for _, name := range []string{wire.HeaderCall, wire.HeaderRequest, "Traceparent"} {
 		if value := r.Header.Get(name); value != "" {
@@ -249,31 +245,23 @@
 	out.Header.Set(wire.HeaderService, service)
 	answer, err := t.client.Do(out)
 	if err != nil {
-		return http.StatusBadGateway, err.Error()
+		return http.StatusBadGateway, "broken"
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(answer.Body, failureMax))
 		_, _ = io.Copy(io.Discard, answer.Body)
-		if why = answer.Header.Get(HeaderFailed); why == "" {
-			why = strings.Map(printable, string(body))
+		below := answer.Header.Get(HeaderBelow)
+		if below != "" {
+			below = "/ " + below
 		}
-		return answer.StatusCode, why
+		return answer.StatusCode, answer.Header.Get(wire.HeaderReason) + below
 	}
 	if err := CheckBody(answer.Body, r.Header.Get(wire.HeaderRequest)); err != nil {
-		return http.StatusBadGateway, err.Error()
+		return http.StatusBadGateway, "not whole"
 	}
 	return answer.StatusCode, ""
 }
 
-// printable replaces what cannot be in a header.
-func printable(r rune) rune {
-	if r < ' ' || r > '~' {
-		return ' '
-	}
-	return r
-}
-
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, status, busy int, cut int64) {
 	body := newPattern(t.settings.Name, r.Header.Get(wire.HeaderRequest), t.settings.AnswerBytes)
 	w.Header().Set(wire.HeaderLoad, fmt.Sprintf("%d/%d", busy, t.settings.Slots))
