--- /dev/null
+++ b/fleet/call_test.go
@@ -0,0 +1,150 @@
+//go:build linux
+
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
+
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+const (
+	// workers bounds the calls at once. It is far below the 100 slots of the
+	// target, so that nothing waits for admission.
+	workers = 16
+	// warmCalls open the connections before the measurement.
+	warmCalls = 400
+	second    = int64(time.Second / time.Microsecond)
+)
+
+// callBodyBytes is about the size of a small request; answers have 2,000 bytes.
+const callBodyBytes = 200
+
+// BenchmarkTwoNodes measures what two nodes between a caller and a target add.
+// Each operation is one call through both nodes and one to the target directly,
+// in alternating order and at a fixed rate. The time per operation only shows
+// the rate.
+func BenchmarkTwoNodes(b *testing.B) {
+	platform, target := surroundings(b)
+	nodes := []*node{prepare(b, "front-1", "front", "a"), prepare(b, "deep-1", "deep", "a")}
+	publish(b, platform, []string{"front", "deep"}, nodes, 10_000)
+	publishList(b, platform, nodes)
+	program := compile(b)
+	for i, n := range nodes {
+		n.start(b, program, target.Address(), platform.Address(), []string{nodes[1-i].ports.Peers})
+	}
+	awaitRoutes(b, nodes)
+	p := &pairs{
+		client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: workers}},
+		direct: target.Address(), through: nodes[0].ports.Callers, body: strings.Repeat("x", callBodyBytes),
+	}
+	p.run(b, warmCalls, 1000)
+	for _, perSecond := range []int{250, 1000, 3000} {
+		b.Run(fmt.Sprintf("rate=%d", perSecond), func(b *testing.B) { p.measure(b, nodes, perSecond) })
+	}
+}
+
+// pairs makes calls through nodes and directly.
+type pairs struct {
+	client          *http.Client
+	direct, through string // addresses
+	body            string
+
+	mu                sync.Mutex
+	viaNodes, viaNone *hdrhistogram.Histogram // latencies in microseconds
+}
+
+func (p *pairs) measure(b *testing.B, nodes []*node, perSecond int) {
+	spent := func() (sum time.Duration) {
+		for _, n := range nodes {
+			if n.process != nil {
+				sum += n.processorTime(b)
+			}
+		}
+		return sum
+	}
+	start := spent()
+	p.run(b, b.N, perSecond)
+	cost := spent() - start
+	b.StopTimer()
+	for _, quantile := range []float64{50, 99} {
+		through, direct := p.viaNodes.ValueAtQuantile(quantile), p.viaNone.ValueAtQuantile(quantile)
+		b.ReportMetric(float64(through), fmt.Sprintf("p%.0f-nodes-us", quantile))
+		b.ReportMetric(float64(direct), fmt.Sprintf("p%.0f-direct-us", quantile))
+		b.ReportMetric(float64(through-direct), fmt.Sprintf("p%.0f-added-us", quantile))
+	}
+	if perCall := cost.Seconds() / float64(b.N); perCall > 0 {
+		b.ReportMetric(1e6*perCall, "cpu-us/call")
+		b.ReportMetric(1/perCall, "calls/core-s")
+	}
+}
+
+// run makes n pairs of calls and keeps their latencies.
+func (p *pairs) run(b *testing.B, n, perSecond int) {
+	p.viaNodes, p.viaNone = hdrhistogram.New(1, 60*second, 3), hdrhistogram.New(1, 60*second, 3)
+	pace := rate.NewLimiter(rate.Limit(perSecond), 1)
+	work := make(chan int)
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for i := range work {
+				order := []string{p.through, p.direct}
+				if i%2 == 1 {
+					order[0], order[1] = order[1], order[0]
+				}
+				for _, address := range order {
+					if err := p.call(address, fmt.Sprintf("%d-%d", i, time.Now().UnixNano())); err != nil {
+						b.Errorf("%s: %v", address, err)
+					}
+				}
+			}
+		})
+	}
+	for i := range n {
+		_ = pace.Wait(b.Context())
+		work <- i
+	}
+	close(work)
+	group.Wait()
+}
+
+// call makes one call and keeps its latency up to the last byte of the answer.
+func (p *pairs) call(address, request string) error {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", strings.NewReader(p.body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set(wire.HeaderService, "deep")
+	r.Header.Set(wire.HeaderClass, "read-deep")
+	r.Header.Set(wire.HeaderRequest, request)
+	began := time.Now()
+	answer, err := p.client.Do(r)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(answer.Body)
+	took := time.Since(began)
+	_ = answer.Body.Close()
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK || !strings.HasPrefix(string(body), "target "+request+" ") {
+		return fmt.Errorf("status %d: %.300s", answer.StatusCode, body)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.viaNodes
+	if address == p.direct {
+		h = p.viaNone
+	}
+	return h.RecordValue(max(1, took.Microseconds()))
+}
--- /dev/null
+++ b/fleet/helper_test.go
@@ -0,0 +1,246 @@
+//go:build linux
+
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/build"
+	"github.com/gypsumrail/gypsumrail/shell"
+	"github.com/gypsumrail/gypsumrail/stubs"
+	"github.com/gypsumrail/gypsumrail/wire"
+)
+
+// inside is for profiles: -cpuprofile sees only the process of the test.
+var inside = flag.Bool("inside", false, "run the nodes inside the process of the test; processor time is then not told apart")
+
+// patience bounds each wait. It is generous, because nothing here asserts a time.
+const patience = 60 * time.Second
+
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}}
+
+// compile builds the program once for a test.
+func compile(t testing.TB) string {
+	t.Helper()
+	if *inside {
+		return ""
+	}
+	program := filepath.Join(t.TempDir(), "gypsumrail")
+	command := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../cmd/gypsumrail")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, output)
+	}
+	return program
+}
+
+// lastPort is the port that was given out last. Ports are below the range from
+// which the kernel takes those of outgoing connections.
+var lastPort = 10000 + rand.IntN(15000)
+
+// port returns a free loopback address that was not given out before.
+func port(t testing.TB) string {
+	t.Helper()
+	for range 1000 {
+		lastPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// node is one node of a measurement.
+type node struct {
+	instance gypsumrail.Instance
+	ports    shell.Addresses
+	process  *exec.Cmd // nil inside the process of the test
+}
+
+func prepare(t testing.TB, name, service, zone string) *node {
+	t.Helper()
+	n := &node{ports: shell.Addresses{Callers: port(t), Egress: port(t), Peers: port(t), Admin: port(t)}}
+	n.instance = gypsumrail.Instance{Name: name, Service: service, Zone: zone, Address: n.ports.Peers, State: gypsumrail.Live}
+	return n
+}
+
+// start starts a node. It ends with the test.
+func (n *node) start(t testing.TB, program, target, platform string, seeds []string) {
+	t.Helper()
+	if *inside {
+		n.startInside(t, target, platform, seeds)
+		return
+	}
+	n.process = exec.Command(program, "node", "--name", n.instance.Name, "--service", n.instance.Service,
+		"--zone", n.instance.Zone, "--callers", n.ports.Callers, "--egress", n.ports.Egress, "--peers", n.ports.Peers,
+		"--admin", n.ports.Admin, "--target", target, "--platform", platform, "--seeds", strings.Join(seeds, ","))
+	// A test that is itself killed leaves no node behind.
+	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	var output bytes.Buffer
+	n.process.Stderr = &output
+	if err := n.process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = n.process.Process.Kill()
+		_ = n.process.Wait()
+		if t.Failed() {
+			t.Logf("%s:\n%s", n.instance.Name, output.String())
+		}
+	})
+}
+
+func (n *node) startInside(t testing.TB, target, platform string, seeds []string) {
+	t.Helper()
+	built, err := build.New(t.Context(), build.Settings{
+		Self: n.instance, Listen: n.ports, Target: target, Platform: platform, Seeds: seeds, Log: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = built.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+func get(address, path string) ([]byte, error) {
+	answer, err := client.Get("http://" + address + path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s%s: status %d", address, path, answer.StatusCode)
+	}
+	return content, err
+}
+
+// status returns the revision of the records in force and the number of
+// instances to which the node can send calls.
+func (n *node) status() (inForce gypsumrail.Revision, usable int) {
+	var s struct {
+		Node struct {
+			Services []struct{ Upstreams []struct{ Usable bool } }
+		}
+		Shell struct{ RecordsInForce gypsumrail.Revision }
+	}
+	content, err := get(n.ports.Admin, "/status")
+	if err != nil || json.Unmarshal(content, &s) != nil {
+		return 0, 0
+	}
+	for _, service := range s.Node.Services {
+		for _, u := range service.Upstreams {
+			if u.Usable {
+				usable++
+			}
+		}
+	}
+	return s.Shell.RecordsInForce, usable
+}
+
+// await polls until a condition holds.
+func await(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// awaitRoutes waits until all nodes can send calls to all instances.
+func awaitRoutes(t testing.TB, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes {
+		await(t, n.instance.Name+" to have a route to all instances", func() bool {
+			_, usable := n.status()
+			return usable == len(nodes)
+		})
+	}
+}
+
+// publish publishes one class for each service, with the given deadline, which
+// makes one revision differ from the next.
+func publish(t testing.TB, platform *stubs.Platform, services []string, nodes []*node, deadline int) gypsumrail.Revision {
+	t.Helper()
+	var records []map[string]any
+	for i, service := range services {
+		dependencies := []string{}
+		if next := i + 1; next < len(services) && next%11 != 0 {
+			dependencies = append(dependencies, services[next])
+		}
+		records = append(records, map[string]any{
+			"SchemaVersion": 2, "Kind": "Service", "Name": service, "Dependencies": dependencies,
+			"SlotsMax": 200, "ConnsMax": 1400, "ColdStartMillis": 0,
+		}, map[string]any{
+			"SchemaVersion": 2, "Kind": "Class", "Name": "read-" + service, "Importance": 5, "DeadlineMillis": deadline,
+			"Repeatable": true, "Service": service, "Uses": []string{service}, "Allowance": 3,
+		})
+	}
+	for _, n := range nodes {
+		records = append(records, map[string]any{
+			"SchemaVersion": 2, "Kind": "Target", "Name": n.instance.Name, "Service": n.instance.Service,
+			"Zone": n.instance.Zone, "Slots": 100, "Conns": 256,
+		})
+	}
+	content, err := json.Marshal(map[string]any{"Revision": 1, "Records": records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Publish(gypsumrail.ValueRecords, content)
+}
+
+func publishList(t testing.TB, platform *stubs.Platform, nodes []*node) {
+	t.Helper()
+	var list []gypsumrail.Instance
+	for _, n := range nodes {
+		list = append(list, n.instance)
+	}
+	content, err := wire.FormatInstances(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform.Publish(gypsumrail.ValueInstances, content)
+}
+
+// surroundings starts the platform and the target of a measurement.
+func surroundings(t testing.TB) (*stubs.Platform, *stubs.Target) {
+	t.Helper()
+	platform, err := stubs.NewPlatform("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	target, err := stubs.NewTarget(stubs.TargetSettings{Name: "target", Slots: 100, AnswerBytes: 2000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(target.Close)
+	return platform, target
+}
