Give important calls a free reserved slot whatever the threshold

Cause, seen with package trial on targets of 4 slots: the threshold refused importance 9 while the slot that is reserved for it was free, and the limit never counted as full, because a reserved slot is more than a fifth of it.

--- a/core/serve.go
+++ b/core/serve.go
@@ -87,7 +87,7 @@
 		return gypsumrail.ReasonTooDeep
 	case v.deadline <= n.now:
 		return gypsumrail.ReasonDeadline
-	case v.level < n.parts.Shedder.Threshold():
+	case v.level < n.parts.Shedder.Threshold() && !n.hasReserved(v):
 		return gypsumrail.ReasonShed
 	}
 	if n.settings.NoDeadlines {
@@ -99,6 +99,13 @@
 	return gypsumrail.ReasonNone
 }
 
+// hasReserved tells whether a slot that is kept for important calls is free for
+// this one. The threshold then does not apply: it answers for the other slots.
+func (n *Node) hasReserved(v *serve) bool {
+	return v.importance >= gypsumrail.ImportanceReserved &&
+		n.running < n.parts.Limiter.Limit() && n.parts.Queue.Ahead(v.level) == 0
+}
+
 // expectedWait estimates how long a call waits for a slot: the calls ahead of
 // it, served by all slots in parallel.
 func (n *Node) expectedWait(v *serve) gypsumrail.Millis {
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -160,7 +160,10 @@
 }
 
 func (a *Adaptive) decide(now gypsumrail.Millis, m measurement) {
-	bound := m.good >= samplesMin && m.inFlight >= boundAbove*float64(a.limit)
+	// One slot may be kept free for important calls, which is more than the rest of
+	// a limit of 4.
+	full := min(boundAbove*float64(a.limit), float64(a.limit-1))
+	bound := m.good >= samplesMin && m.inFlight >= full
 	switch {
 	case m.badShare > badAbove:
 		a.shrink(now, m)
