--- a/fleet/usage_test.go
+++ b/fleet/usage_test.go
@@ -36,9 +36,10 @@
 }
 
 // transferred returns the bytes that a node process has read and written. An
-// idle node reads and writes sockets, a few log lines and 8 bytes for each
-// wake-up of its network poller, so this is close to its control traffic without
-// the headers of TCP and IP. /proc/net counts them but does not tell processes apart.
+// idle node reads and writes sockets, a few log lines and its own wake-ups: each
+// time the runtime wakes its network poller it writes and reads 8 bytes. So this
+// is above the control traffic, though without the headers of TCP and IP.
+// /proc/net counts those but does not tell processes apart.
 func (n *node) transferred(t testing.TB) float64 {
 	t.Helper()
 	text := n.procFile(t, "io")
