--- a/core/blind.go
+++ b/core/bootstrap.go
@@ -6,15 +6,15 @@
 	"github.com/gypsumrail/gypsumrail"
 )
 
-// blindMax is how long a new node waits for the list of instances, as it does
+// bootstrapMax is how long a new node waits for the list of instances, as it does
 // for its records. After that it serves what it can.
-const blindMax = 5 * gypsumrail.Second
+const bootstrapMax = 5 * gypsumrail.Second
 
-// blind tells whether a new node has no records yet, or no list of instances
+// bootstrapping tells whether a new node has no records yet, or no list of instances
 // while the class uses other services than the own. A call that ran here would
 // fail at its first outgoing call, while other nodes can serve it.
-func (n *Node) blind(class *gypsumrail.Class) bool {
-	if n.listed && n.records != nil || n.now-n.clocks.began >= blindMax {
+func (n *Node) bootstrapping(class *gypsumrail.Class) bool {
+	if n.listed && n.records != nil || n.now-n.clocks.began >= bootstrapMax {
 		return false
 	}
 	if n.records == nil {
@@ -28,24 +28,24 @@
 	return false
 }
 
-// holdEarly keeps a forwarded call until this node knows what it needs to run
+// holdUntilReady keeps a forwarded call until this node knows what it needs to run
 // it. Refusing it would cost its sender a retry, and a resend has none.
-func (n *Node) holdEarly(v *serve) {
+func (n *Node) holdUntilReady(v *serve) {
 	n.hold(v)
-	n.early = append(n.early, v.call)
+	n.held = append(n.held, v.call)
 }
 
-// admitEarly admits the calls that were held, once the node is no longer blind.
-func (n *Node) admitEarly() {
-	if len(n.early) == 0 {
+// admitHeld admits the calls that were held, once the node is no longer bootstrapping.
+func (n *Node) admitHeld() {
+	if len(n.held) == 0 {
 		return
 	}
-	n.early = slices.DeleteFunc(n.early, func(call gypsumrail.CallID) bool {
+	n.held = slices.DeleteFunc(n.held, func(call gypsumrail.CallID) bool {
 		v := n.serves[call]
 		if v == nil || v.running {
 			return true
 		}
-		if n.blind(v.class) {
+		if n.bootstrapping(v.class) {
 			return false
 		}
 		delete(n.serves, call)
--- a/core/core.go
+++ b/core/core.go
@@ -76,7 +76,7 @@
 	defaults   bool
 	clocks     clocks
 	listed     bool                // the list of instances was read
-	early      []gypsumrail.CallID // forwarded calls held while blind
+	held       []gypsumrail.CallID // forwarded calls held while bootstrapping
 	awaiting   []gypsumrail.CallID // calls of the own target that wait for an upstream
 	draining   bool
 	drainAt    gypsumrail.Millis
--- a/core/send.go
+++ b/core/send.go
@@ -126,7 +126,7 @@
 		return gypsumrail.ReasonOverload
 	case n.draining && s.origin == gypsumrail.FromCaller:
 		return gypsumrail.ReasonDraining
-	case s.origin == gypsumrail.FromCaller && n.blind(s.class):
+	case s.origin == gypsumrail.FromCaller && n.bootstrapping(s.class):
 		return gypsumrail.ReasonNoUpstream
 	case s.hop >= n.settings.DepthMax:
 		return gypsumrail.ReasonTooDeep
--- a/core/serve.go
+++ b/core/serve.go
@@ -57,8 +57,8 @@
 		n.refuseServe(v, outcome, reason)
 		return
 	}
-	if !v.local && !n.draining && v.deadline > n.now && len(n.serves) < callsMax && n.blind(v.class) {
-		n.holdEarly(v)
+	if !v.local && !n.draining && v.deadline > n.now && len(n.serves) < callsMax && n.bootstrapping(v.class) {
+		n.holdUntilReady(v)
 		return
 	}
 	if reason := n.checkAdmission(v); reason != gypsumrail.ReasonNone {
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -31,7 +31,7 @@
 	}
 	n.clocks.tick = n.now
 	n.expireCalls()
-	n.admitEarly()
+	n.admitHeld()
 	n.retryAwaiting()
 	n.pump()
 	if n.now-n.clocks.observe >= observeEvery {
