--- a/effect.go
+++ b/effect.go
@@ -65,8 +65,6 @@
 	NoticeDefaultsInUse   Notice = 1003 // no revision was found in time
 	NoticeReaderStarted   Notice = 1101 // this node now watches the platform for its zone
 	NoticeReaderStopped   Notice = 1102 // this node no longer watches the platform
-	NoticeInstanceJoined  Notice = 1201
-	NoticeInstanceLeaving Notice = 1202
 	NoticeInstanceSuspect Notice = 1203
 	NoticeThresholdRaised Notice = 1301
 	NoticeThresholdZero   Notice = 1302
