Move everything but the interfaces and the decision parts below internal/

Thirty-eight folders lay flat at the root, and a newcomer could not tell the product from its laboratory. internal/node holds what a running node is made of, internal/lab the stand-ins, trials and measures, internal/cmds the subcommands. No logic changed.

--- a/cmd/gypsumrail/main.go
+++ b/cmd/gypsumrail/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/gypsumrail/gypsumrail/verbs"
+	"github.com/gypsumrail/gypsumrail/internal/cmds/verbs"
 )
 
 func main() {
--- a/verbs/demo.go
+++ b/internal/cmds/verbs/demo.go
@@ -12,7 +12,7 @@
 
 	"github.com/mattn/go-isatty"
 
-	"github.com/gypsumrail/gypsumrail/demo"
+	"github.com/gypsumrail/gypsumrail/internal/lab/demo"
 )
 
 // demoArgs are the arguments of demo.
--- a/verbs/node.go
+++ b/internal/cmds/verbs/node.go
@@ -13,10 +13,10 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/build"
+	"github.com/gypsumrail/gypsumrail/internal/node/build"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/shell"
-	"github.com/gypsumrail/gypsumrail/wire"
 )
 
 // nodeArgs are the arguments of node.
--- a/verbs/record.go
+++ b/internal/cmds/verbs/record.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/admin"
-	"github.com/gypsumrail/gypsumrail/mask"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
+	"github.com/gypsumrail/gypsumrail/internal/node/redact"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/trace"
 )
 
 // recordArgs are the arguments of record.
@@ -48,7 +48,7 @@
 	client    *admin.Client
 	length    time.Duration
 	maxEvents int
-	mask      *mask.Mask
+	mask      *redact.Mask
 	set       []byte              // record set, or nil
 	records   *gypsumrail.Records // of the set
 	out       string
@@ -83,7 +83,7 @@
 	if salt == "" {
 		salt = rand.Text()
 	}
-	plan.mask = mask.New([]byte(salt))
+	plan.mask = redact.New([]byte(salt))
 	if settings.Records != "" {
 		content, err := os.ReadFile(settings.Records)
 		if err == nil {
--- a/verbs/replay.go
+++ b/internal/cmds/verbs/replay.go
@@ -9,12 +9,12 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/gypsumrail/gypsumrail/draws"
-	"github.com/gypsumrail/gypsumrail/oracle"
-	"github.com/gypsumrail/gypsumrail/policy"
-	"github.com/gypsumrail/gypsumrail/replay"
-	"github.com/gypsumrail/gypsumrail/report"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/loads"
+	"github.com/gypsumrail/gypsumrail/internal/lab/oracle"
+	"github.com/gypsumrail/gypsumrail/internal/lab/policy"
+	"github.com/gypsumrail/gypsumrail/internal/lab/replay"
+	"github.com/gypsumrail/gypsumrail/internal/lab/report"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // replayArgs are the arguments of 'gypsumrail replay'.
@@ -149,7 +149,7 @@
 // replaySeed replays one trace with one seed under each policy. The replays run
 // in parallel and share only the requests, which they do not change.
 func replaySeed(file *trace.File, policies []policy.Policy, seed uint64) []*report.Result {
-	requests := draws.Requests(file, seed)
+	requests := loads.Requests(file, seed)
 	yardstick := report.Yardstick{
 		Oracle: oracle.Answerable(file, requests, oracle.Options{}),
 		Now:    oracle.Answerable(file, requests, oracle.Options{NoWaiting: true}),
--- a/verbs/slopes.go
+++ b/internal/cmds/verbs/slopes.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 
-	"github.com/gypsumrail/gypsumrail/slope"
+	"github.com/gypsumrail/gypsumrail/internal/lab/slope"
 )
 
 // runSlopes measures how costs grow with the fleet and prints the table that
--- a/verbs/status.go
+++ b/internal/cmds/verbs/status.go
@@ -7,8 +7,8 @@
 	"io"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/admin"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // statusArgs are the arguments of status.
--- a/demo/client.go
+++ b/internal/lab/demo/client.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/stubs"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // keysAtOnce is how many idempotency keys a client fetches ahead.
--- a/demo/direct.go
+++ b/internal/lab/demo/direct.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Behavior of a target's outgoing calls without the layer, as a client library
--- a/demo/fleet.go
+++ b/internal/lab/demo/fleet.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 )
 
 // headerTime bounds how long the stand-in of a client library waits for headers.
--- a/demo/node.go
+++ b/internal/lab/demo/node.go
@@ -10,11 +10,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/build"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/build"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/shell"
-	"github.com/gypsumrail/gypsumrail/stubs"
-	"github.com/gypsumrail/gypsumrail/wire"
 )
 
 // readyTime bounds the start of the nodes.
--- a/fakes/target.go
+++ b/internal/lab/fakes/target.go
@@ -9,15 +9,15 @@
 	"slices"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/draws"
+	"github.com/gypsumrail/gypsumrail/internal/lab/loads"
 )
 
 // Host is what a target needs from the driver.
 type Host interface {
 	// Now returns the virtual time.
-	Now() draws.Micros
+	Now() loads.Micros
 	// After runs f later. Functions due at one time run in the order of their calls.
-	After(delay draws.Micros, f func())
+	After(delay loads.Micros, f func())
 	// CallOut makes an outgoing call of a run. Done is called exactly once unless the run was cancelled.
 	CallOut(run *Run, call int, done func(ok bool))
 	// Hangup ends the outgoing calls of a run that was cancelled or broke.
@@ -25,7 +25,7 @@
 	// Started tells that the run got a slot: from here on it ran.
 	Started(run *Run)
 	// Worked tells that the target worked on the run.
-	Worked(run *Run, spent draws.Micros)
+	Worked(run *Run, spent loads.Micros)
 	// Ended tells how the run ended. Answered is false if no answer will arrive.
 	Ended(run *Run, answered bool, result gypsumrail.Result)
 }
@@ -33,10 +33,10 @@
 // Run is one call on the target. Call numbers it for the node.
 type Run struct {
 	Call    gypsumrail.CallID
-	Request *draws.Request
+	Request *loads.Request
 	Index   int // of the call in the request's tree
 	step    int
-	began   draws.Micros // of the current piece of work
+	began   loads.Micros // of the current piece of work
 	working bool
 	started bool
 	over    bool
@@ -127,7 +127,7 @@
 // between and after the steps of outgoing calls.
 func (t *Target) work(run *Run) {
 	now := t.host.Now()
-	piece := run.Request.Work[run.Index] / draws.Micros(len(run.steps())+1)
+	piece := run.Request.Work[run.Index] / loads.Micros(len(run.steps())+1)
 	run.began, run.working = now, true
 	t.host.After(t.plan.Finish(now, piece)-now, func() {
 		if run.over {
--- a/draws/draws.go
+++ b/internal/lab/loads/draws.go
@@ -1,10 +1,10 @@
-// Package draws turns the compact workload of a scenario into user requests.
+// Package loads turns the compact workload of a scenario into user requests.
 //
 // Everything random about a request (arrival, service time of every call in its
 // tree, seed of its client) is drawn here, before any policy runs. So all
 // policies and the oracle see the same requests with the same work, and a
 // difference between their results is one of decisions.
-package draws
+package loads
 
 import (
 	"math"
@@ -13,7 +13,7 @@
 	"strconv"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // Micros is virtual time in microseconds. Section 1 of the design states
--- a/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -30,14 +30,14 @@
 	"slices"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/draws"
-	"github.com/gypsumrail/gypsumrail/fakes"
+	"github.com/gypsumrail/gypsumrail/internal/lab/fakes"
+	"github.com/gypsumrail/gypsumrail/internal/lab/loads"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/trace"
 )
 
 const (
-	windowSpan = draws.Micros(1_000_000)
+	windowSpan = loads.Micros(1_000_000)
 	// slices of a window at which the conditions of targets are sampled
 	samples = 10
 )
@@ -62,7 +62,7 @@
 	uses     map[string][][]*pool // by class: the pools of each call in the tree
 	holds    map[string][][]float64
 	windows  int
-	client   draws.Micros
+	client   loads.Micros
 }
 
 // Options change what the oracle may do.
@@ -74,8 +74,8 @@
 }
 
 // Answerable tells for each request whether the oracle answers it in time.
-func Answerable(file *trace.File, requests []draws.Request, options Options) []bool {
-	end := draws.Of(file.Header.Until)
+func Answerable(file *trace.File, requests []loads.Request, options Options) []bool {
+	end := loads.Of(file.Header.Until)
 	for i := range requests {
 		end = max(end, requests[i].Deadline())
 	}
@@ -86,7 +86,7 @@
 		uses:     map[string][][]*pool{},
 		holds:    map[string][][]float64{},
 		windows:  int(end/windowSpan) + 1,
-		client:   draws.OfFloat(file.Header.Delays.ClientMillis),
+		client:   loads.OfFloat(file.Header.Delays.ClientMillis),
 	}
 	for name := range file.Records.Services {
 		o.addService(file, name)
@@ -133,7 +133,7 @@
 // fill computes what the targets offer in one window.
 func (o *oracle) fill(s *service, plans map[string]fakes.Plan, w int) {
 	at := func(plan fakes.Plan, sample int) *fakes.Condition {
-		return plan.At(draws.Micros(w)*windowSpan + windowSpan*draws.Micros(sample)/samples)
+		return plan.At(loads.Micros(w)*windowSpan + windowSpan*loads.Micros(sample)/samples)
 	}
 	for _, plan := range plans {
 		for sample := range samples {
@@ -158,7 +158,7 @@
 }
 
 // admit takes the slot time of a request from the first window that has room.
-func (o *oracle) admit(request *draws.Request) bool {
+func (o *oracle) admit(request *loads.Request) bool {
 	class := request.Tree.Class
 	pools := o.poolsOf(request.Tree)
 	first := int(request.At / windowSpan)
@@ -166,7 +166,7 @@
 		if w > first && o.options.NoWaiting {
 			return false
 		}
-		start := max(request.At, draws.Micros(w)*windowSpan)
+		start := max(request.At, loads.Micros(w)*windowSpan)
 		if start > request.Deadline() {
 			return false
 		}
@@ -206,7 +206,7 @@
 }
 
 // poolsOf returns, for each call of a tree, the pools that its targets are part of.
-func (o *oracle) poolsOf(tree *draws.Tree) [][]*pool {
+func (o *oracle) poolsOf(tree *loads.Tree) [][]*pool {
 	class := tree.Class
 	if known := o.uses[class.Name]; known != nil {
 		return known
@@ -248,7 +248,7 @@
 }
 
 // hold computes the mean time for which each call of a tree holds a slot.
-func (o *oracle) hold(tree *draws.Tree, call, w int, holds []float64) float64 {
+func (o *oracle) hold(tree *loads.Tree, call, w int, holds []float64) float64 {
 	c := &tree.Calls[call]
 	total := float64(c.MeanWork()) * o.services[c.Service].factor[w]
 	for _, step := range c.Steps {
@@ -264,15 +264,15 @@
 
 // length returns the time that a request takes if it never waits. It is false if
 // a service that the request needs has no target.
-func (o *oracle) length(request *draws.Request, call, w int) (draws.Micros, bool) {
+func (o *oracle) length(request *loads.Request, call, w int) (loads.Micros, bool) {
 	c := &request.Tree.Calls[call]
 	factor := o.services[c.Service].factor[w]
 	if factor == 0 {
 		return 0, false
 	}
-	total := draws.Micros(float64(request.Work[call]) * factor)
+	total := loads.Micros(float64(request.Work[call]) * factor)
 	for _, step := range c.Steps {
-		longest := draws.Micros(0)
+		longest := loads.Micros(0)
 		for _, child := range step {
 			below, ok := o.length(request, child, w)
 			if !ok {
--- a/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -6,8 +6,8 @@
 import (
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/limit"
-	"github.com/gypsumrail/gypsumrail/parts"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/route"
 	"github.com/gypsumrail/gypsumrail/shed"
@@ -55,7 +55,7 @@
 	if target := records.Targets[self.Name]; target != nil {
 		slots = target.Slots
 	}
-	built := parts.New(self, parts.Settings{Route: route.Settings{Tuning: tuningOf(records)}})
+	built := setup.New(self, setup.Settings{Route: route.Settings{Tuning: tuningOf(records)}})
 	if p.plainLimit {
 		built.Limiter = limit.NewStatic(slots)
 	}
--- a/replay/calls.go
+++ b/internal/lab/replay/calls.go
@@ -2,20 +2,20 @@
 
 import (
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/draws"
-	"github.com/gypsumrail/gypsumrail/fakes"
+	"github.com/gypsumrail/gypsumrail/internal/lab/fakes"
+	"github.com/gypsumrail/gypsumrail/internal/lab/loads"
 )
 
 // call is one call at one node, with what the shell would hold for it.
 type call struct {
 	id       gypsumrail.CallID
 	node     *node
-	request  *draws.Request
+	request  *loads.Request
 	index    int // in the request's tree
 	origin   gypsumrail.Origin
 	attempt  int // the client's try
 	hop      int
-	since    draws.Micros
+	since    loads.Micros
 	key      string
 	reply    func(ended)   // to the client or to the target; nil for a forwarded call
 	sender   *call         // of a forwarded call
@@ -108,10 +108,10 @@
 // The methods below make a node the host of its fake target.
 
 // Now returns the virtual time.
-func (n *node) Now() draws.Micros { return n.world.now }
+func (n *node) Now() loads.Micros { return n.world.now }
 
 // After runs f later.
-func (n *node) After(delay draws.Micros, f func()) { n.world.after(delay, f) }
+func (n *node) After(delay loads.Micros, f func()) { n.world.after(delay, f) }
 
 // CallOut makes an outgoing call of a run through the egress port.
 func (n *node) CallOut(run *fakes.Run, index int, done func(ok bool)) {
@@ -145,7 +145,7 @@
 }
 
 // Worked notes the work of a target.
-func (n *node) Worked(run *fakes.Run, spent draws.Micros) {
+func (n *node) Worked(run *fakes.Run, spent loads.Micros) {
 	n.world.tally.Users[run.Request.Index].Worked += spent
 }
 
--- a/replay/effects.go
+++ b/internal/lab/replay/effects.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/fakes"
+	"github.com/gypsumrail/gypsumrail/internal/lab/fakes"
 )
 
 // perform does what the shell of a node does for one effect.
--- a/replay/node.go
+++ b/internal/lab/replay/node.go
@@ -7,8 +7,8 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/policy"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/policy"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // NodeResult is what one node did with a recorded stream of events.
--- a/report/check.go
+++ b/internal/lab/report/check.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // Miss is a stated outcome that was not met.
--- a/report/known.go
+++ b/internal/lab/report/known.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // Known is the outcomes that are known not to be met, by trace and measure. The
--- a/report/node.go
+++ b/internal/lab/report/node.go
@@ -6,8 +6,8 @@
 	"maps"
 	"slices"
 
-	"github.com/gypsumrail/gypsumrail/replay"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/replay"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // WriteNode writes what one node did with a recorded stream of events.
--- a/report/table.go
+++ b/internal/lab/report/table.go
@@ -6,7 +6,7 @@
 	"math"
 	"strings"
 
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // Group is the results of one trace: one row of results for each policy, one
--- a/slope/fleet.go
+++ b/internal/lab/slope/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/parts"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/record"
 )
 
@@ -81,7 +81,7 @@
 }
 
 func nodeOf(list []gypsumrail.Instance, index int, known *gypsumrail.Records) *core.Node {
-	built := parts.NewNode(list[index], core.Settings{}, parts.Settings{})
+	built := setup.NewNode(list[index], core.Settings{}, setup.Settings{})
 	built.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: known, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1, Hash: 1}})
 	built.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: list, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1, Hash: 1}})
 	// Two ticks settle the upstream lists.
--- a/slope/wire.go
+++ b/internal/lab/slope/wire.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // wire is a control server and client on a loopback connection that counts the
--- a/stubs/target.go
+++ b/internal/lab/stubs/target.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // ranMax bounds the requests that a target remembers.
--- a/trial/deploy.go
+++ b/internal/lab/trial/deploy.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/stubs"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Settings of a deployment.
--- a/trial/network.go
+++ b/internal/lab/trial/network.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
 )
 
 // dialTimeout is how long a connection into a separated zone takes to fail, as
--- a/trial/node.go
+++ b/internal/lab/trial/node.go
@@ -13,11 +13,11 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/parts"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/shell"
-	"github.com/gypsumrail/gypsumrail/stubs"
 )
 
 // Instance is one node with its target.
@@ -103,7 +103,7 @@
 		Name: i.Name, Service: i.Service, Zone: i.Zone, Address: i.Ports.Peers, Version: 1, State: gypsumrail.Live,
 		Incarnation: gypsumrail.Incarnation(uint64(time.Now().UnixMilli())<<20 | rand.Uint64N(1<<20)), //nolint:gosec // as nodes do
 	}
-	node := parts.NewNode(self, core.Settings{}, parts.Settings{})
+	node := setup.NewNode(self, core.Settings{}, setup.Settings{})
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &run{cancel: cancel, ended: make(chan struct{})}
 	r.shell = shell.New(shell.Settings{
--- a/trial/observe.go
+++ b/internal/lab/trial/observe.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Attempt is one send of a request by a client, as the client saw it end.
--- a/admin/client.go
+++ b/internal/node/admin/client.go
@@ -15,7 +15,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/trace"
+	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
 )
 
 // statusMax bounds a status in bytes. One upstream takes about 150 bytes, so the
--- a/build/node.go
+++ b/internal/node/build/node.go
@@ -11,20 +11,20 @@
 	"go.uber.org/fx"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/admin"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
+	"github.com/gypsumrail/gypsumrail/internal/node/meter"
+	"github.com/gypsumrail/gypsumrail/internal/node/notice"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/values"
 	"github.com/gypsumrail/gypsumrail/ledger"
 	"github.com/gypsumrail/gypsumrail/limit"
 	"github.com/gypsumrail/gypsumrail/member"
-	"github.com/gypsumrail/gypsumrail/meter"
-	"github.com/gypsumrail/gypsumrail/notice"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/record"
 	"github.com/gypsumrail/gypsumrail/retry"
-	"github.com/gypsumrail/gypsumrail/revise"
 	"github.com/gypsumrail/gypsumrail/route"
 	"github.com/gypsumrail/gypsumrail/shed"
-	"github.com/gypsumrail/gypsumrail/shell"
 )
 
 // Node is an assembled node. It is safe for concurrent use.
@@ -158,7 +158,7 @@
 func newLimiter() gypsumrail.Limiter { return limit.New(limit.Settings{}) }
 func newShedder() gypsumrail.Shedder { return shed.New(shed.Settings{}) }
 func newBudget() gypsumrail.Budget   { return retry.New(retry.Settings{}) }
-func newValues() gypsumrail.Values   { return revise.New(revise.Settings{}) }
+func newValues() gypsumrail.Values   { return values.New(values.Settings{}) }
 
 func newQueue(m *meter.Meter) gypsumrail.Queue { return m.Queue(queue.New(queue.Settings{})) }
 
--- a/build/settings.go
+++ b/internal/node/build/settings.go
@@ -11,7 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
 
 // Settings of a node. They are valid: whoever fills them in checks them.
--- a/kept/kept.go
+++ b/internal/node/cache/kept.go
@@ -1,13 +1,13 @@
-// Package kept holds the answers of calls that may not be repeated, so that a
+// Package cache holds the answers of calls that may not be repeated, so that a
 // resend gets the answer that its caller missed instead of only its outcome.
-package kept
+package cache
 
 import (
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 const (
--- a/kept/kept_test.go
+++ b/internal/node/cache/kept_test.go
@@ -1,4 +1,4 @@
-package kept
+package cache
 
 import (
 	"fmt"
--- a/lines/lines_test.go
+++ b/internal/node/events/lines_test.go
@@ -1,4 +1,4 @@
-package lines
+package events
 
 import (
 	"testing"
--- a/lines/stream.go
+++ b/internal/node/events/stream.go
@@ -1,7 +1,7 @@
-// Package lines passes lines from a node's steps to operators: the stream of
+// Package events passes lines from a node's steps to operators: the stream of
 // events and the log. Neither may hold a step up, so both drop what their readers
 // do not take in time, and count it.
-package lines
+package events
 
 import (
 	"encoding/json"
--- a/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // WatchTime is how long one watch waits at the platform.
--- a/feed/store.go
+++ b/internal/node/feed/store.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // namesMax bounds the values that a store keeps.
--- a/link/transport.go
+++ b/internal/node/link/transport.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Timeouts of connections.
--- a/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -18,7 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
 
 // seriesMax bounds the series that depend on names of the records. A histogram
--- a/meter/names.go
+++ b/internal/node/meter/names.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/shell"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // other is the label value of names that are not in the records in force, and
--- a/meter/watch.go
+++ b/internal/node/meter/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // part tells apart the time of the steps for calls and for control.
--- a/peer/client.go
+++ b/internal/node/peer/client.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Client sends control messages. It is safe for concurrent use.
--- a/peer/convert.go
+++ b/internal/node/peer/convert.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Limits of the lists in an exchange. A bucket holds about a sixteenth of the
--- a/mask/mask.go
+++ b/internal/node/redact/mask.go
@@ -1,10 +1,10 @@
-// Package mask replaces the secrets in recorded events by pseudonyms.
+// Package redact replaces the secrets in recorded events by pseudonyms.
 //
 // A recording leaves the node that made it, while whoever holds a request's
 // identity or an idempotency key can take over an answer or block a request.
 // Replays need only to tell equal from different, so a pseudonym is a keyed hash:
 // equal stays equal within one salt, and nothing leads back without it.
-package mask
+package redact
 
 import (
 	"crypto/hmac"
--- a/mask/mask_test.go
+++ b/internal/node/redact/mask_test.go
@@ -1,4 +1,4 @@
-package mask
+package redact
 
 import (
 	"encoding/json"
--- a/parts/parts.go
+++ b/internal/node/setup/parts.go
@@ -1,16 +1,16 @@
-// Package parts puts the decision parts of a node together, so that the node,
+// Package setup puts the decision parts of a node together, so that the node,
 // the replay of traces and the tests all run the same ones.
-package parts
+package setup
 
 import (
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/values"
 	"github.com/gypsumrail/gypsumrail/ledger"
 	"github.com/gypsumrail/gypsumrail/limit"
 	"github.com/gypsumrail/gypsumrail/member"
 	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/retry"
-	"github.com/gypsumrail/gypsumrail/revise"
 	"github.com/gypsumrail/gypsumrail/route"
 	"github.com/gypsumrail/gypsumrail/shed"
 )
@@ -24,7 +24,7 @@
 	Retry  retry.Settings
 	Ledger ledger.Settings
 	Member member.Settings
-	Revise revise.Settings
+	Revise values.Settings
 }
 
 // New returns the parts of the node of one instance.
@@ -37,7 +37,7 @@
 		Budget:    retry.New(settings.Retry),
 		Ledger:    ledger.New(self, settings.Ledger),
 		Directory: member.New(self, settings.Member),
-		Values:    revise.New(settings.Revise),
+		Values:    values.New(settings.Revise),
 	}
 }
 
--- a/shell/accept.go
+++ b/internal/node/shell/accept.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 const (
--- a/shell/admin.go
+++ b/internal/node/shell/admin.go
@@ -9,8 +9,8 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/admin"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 func newRouter() *gin.Engine {
--- a/shell/call.go
+++ b/internal/node/shell/call.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/kept"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/cache"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // call is one call that the node holds. The shell's mutex guards it.
@@ -41,7 +41,7 @@
 type message struct {
 	answer  *http.Response
 	attempt int // of answer; 0 for the own target
-	kept    *kept.Answer
+	kept    *cache.Answer
 	problem *wire.Problem
 	result  gypsumrail.Result // for the headers to a peer
 }
--- a/shell/control.go
+++ b/internal/node/shell/control.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/feed"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/feed"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // Bounds of control messages.
--- a/shell/forward.go
+++ b/internal/node/shell/forward.go
@@ -8,8 +8,8 @@
 	"net/http"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // forward starts an attempt of a call at a peer.
--- a/shell/listen.go
+++ b/internal/node/shell/listen.go
@@ -15,8 +15,8 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/peer"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // Connections that each listener accepts; more wait in the kernel's queue.
--- a/shell/pass.go
+++ b/internal/node/shell/pass.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/kept"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/cache"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 const (
@@ -62,9 +62,9 @@
 // is not whole aborts the connection, so that it never looks whole.
 func (s *Shell) passBody(w http.ResponseWriter, k *sink, m message, began time.Time) {
 	c := k.call
-	var keep *kept.Keeper
+	var keep *cache.Keeper
 	if m.attempt == 0 {
-		keep = kept.NewKeeper(c.run.key, c.arrival.Fingerprint, m.answer)
+		keep = cache.NewKeeper(c.run.key, c.arrival.Fingerprint, m.answer)
 	}
 	writeHead(w, m.answer)
 	err := stream32(w, m.answer, keep)
@@ -109,7 +109,7 @@
 
 // stream32 copies a body with one chunk of memory. The writer's flow control
 // slows the reader. The error is errCallerLeft, or tells why the body is not whole.
-func stream32(w http.ResponseWriter, answer *http.Response, keep *kept.Keeper) error {
+func stream32(w http.ResponseWriter, answer *http.Response, keep *cache.Keeper) error {
 	control := http.NewResponseController(w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	buffer, _ := chunks.Get().(*[chunkBytes]byte)
--- a/shell/ports.go
+++ b/internal/node/shell/ports.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/lines"
+	"github.com/gypsumrail/gypsumrail/internal/node/events"
 )
 
 // Reducer makes the decisions. The shell calls it from one goroutine at a time.
@@ -14,7 +14,7 @@
 }
 
 // Logger takes the numbered log events. The shell calls it from one goroutine.
-type Logger = lines.Logger
+type Logger = events.Logger
 
 // Notices of the shell.
 const (
--- a/shell/shell.go
+++ b/internal/node/shell/shell.go
@@ -21,11 +21,11 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/feed"
-	"github.com/gypsumrail/gypsumrail/kept"
-	"github.com/gypsumrail/gypsumrail/lines"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/cache"
+	"github.com/gypsumrail/gypsumrail/internal/node/events"
+	"github.com/gypsumrail/gypsumrail/internal/node/feed"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 )
 
 // Bounds of what a node holds.
@@ -66,8 +66,8 @@
 	feed    *feed.Client
 	store   *feed.Store
 	buffers *link.Buffers
-	lines   *lines.Log
-	stream  *lines.Stream
+	lines   *events.Log
+	stream  *events.Stream
 	limit   chan struct{} // control messages under way
 	ready   readiness
 	applied sync.Mutex     // orders the values that are offered to the reducer
@@ -82,7 +82,7 @@
 	waiters  map[gypsumrail.CallID]chan gypsumrail.Effect
 	seen     map[string]gypsumrail.Instance
 	self     gypsumrail.Instance
-	kept     *kept.Answers
+	kept     *cache.Answers
 	watching context.CancelFunc // nil while the platform is not watched
 	ticker   *time.Ticker
 	resting  bool // ticks are slow because the node holds no calls
@@ -99,17 +99,17 @@
 		base: base, cancel: cancel, stopped: make(chan struct{}),
 		targets: link.NewPool(), peers: link.NewPoolVia(settings.Dial), quiet: link.NewPoolVia(settings.Dial),
 		store: feed.NewStore(), buffers: link.NewBuffers(buffersMax),
-		stream: lines.NewStream(), limit: make(chan struct{}, controlMax),
+		stream: events.NewStream(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only; tokens use crypto/rand
 		calls:   make(map[gypsumrail.CallID]*call),
 		tokens:  make(map[string]*call),
 		waiters: make(map[gypsumrail.CallID]chan gypsumrail.Effect),
 		seen:    make(map[string]gypsumrail.Instance),
 		self:    settings.Self,
-		kept:    kept.New(),
+		kept:    cache.New(),
 		ticker:  time.NewTicker(tickEvery),
 	}
-	s.lines = lines.NewLog(parts.Logger, NoticeLinesDropped)
+	s.lines = events.NewLog(parts.Logger, NoticeLinesDropped)
 	s.quiet.SetConns(quietConnsMax)
 	s.control = peer.NewClient(s.quiet, link.NewFreshVia(settings.Dial))
 	s.feed = feed.NewClient(settings.Platform, s.quiet)
--- a/shell/target.go
+++ b/internal/node/shell/target.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/kept"
-	"github.com/gypsumrail/gypsumrail/link"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/cache"
+	"github.com/gypsumrail/gypsumrail/internal/node/link"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // runMax ends a run that nothing else ends: one of a call that may not be
@@ -77,11 +77,11 @@
 // finishUnread reads an answer whose caller has left to its end and keeps it if
 // the call may not be repeated.
 func (s *Shell) finishUnread(c *call, answer *http.Response) {
-	s.finishUnreadWith(c, answer, kept.NewKeeper(c.run.key, c.arrival.Fingerprint, answer))
+	s.finishUnreadWith(c, answer, cache.NewKeeper(c.run.key, c.arrival.Fingerprint, answer))
 }
 
 // finishUnreadWith is finishUnread for an answer that was read in part.
-func (s *Shell) finishUnreadWith(c *call, answer *http.Response, keep *kept.Keeper) {
+func (s *Shell) finishUnreadWith(c *call, answer *http.Response, keep *cache.Keeper) {
 	defer func() { _ = answer.Body.Close() }()
 	buffer, _ := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(buffer)
@@ -100,7 +100,7 @@
 }
 
 // endRun tells the reducer that a run ended, which frees its slot.
-func (s *Shell) endRun(c *call, kind gypsumrail.EventKind, result gypsumrail.Result, keep *kept.Keeper) {
+func (s *Shell) endRun(c *call, kind gypsumrail.EventKind, result gypsumrail.Result, keep *cache.Keeper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := c.run
--- a/shell/values.go
+++ b/internal/node/shell/values.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
-	"github.com/gypsumrail/gypsumrail/feed"
-	"github.com/gypsumrail/gypsumrail/wire"
+	"github.com/gypsumrail/gypsumrail/internal/node/feed"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 const (
--- a/revise/seed_test.go
+++ b/internal/node/values/seed_test.go
@@ -1,4 +1,4 @@
-package revise_test
+package values_test
 
 import "flag"
 
--- a/revise/values.go
+++ b/internal/node/values/values.go
@@ -1,4 +1,4 @@
-// Package revise decides which version of each platform value is in force on a
+// Package values decides which version of each platform value is in force on a
 // node.
 //
 // Versions reach a node late, repeatedly and from sources that disagree: peers
@@ -7,7 +7,7 @@
 // makes all nodes converge to the highest without a coordinator, and makes it
 // impossible that an accepted configuration is undone. Nothing here reads a
 // clock; time is an argument.
-package revise
+package values
 
 import (
 	"cmp"
