--- a/core/calls.go
+++ b/core/calls.go
@@ -32,6 +32,7 @@
 	tried       []string
 	mayHaveRun  bool // an attempt ended without a certain outcome
 	answering   bool
+	refusals    int            // of nodes, that took nothing from the retry budget
 	key         gypsumrail.Key // of a non-repeatable call
 	keyText     string
 	ownKey      bool // the key was made here, so another home may be tried with a new key
@@ -46,13 +47,15 @@
 	sent     gypsumrail.Millis
 	portion  retry.Portion
 	open     bool
+	local    bool // the upstream is the own target
 	attempt  gypsumrail.HomeAttempt
 }
 
 // serve is a call in the receiver role.
 type serve struct {
 	call        gypsumrail.CallID
-	local       bool // the sender role of the call is at this node
+	local       bool                // the sender role of the call is at this node
+	meant       gypsumrail.Instance // local: the instance that was chosen
 	service     string
 	class       *gypsumrail.Class
 	request     string
--- a/core/config.go
+++ b/core/config.go
@@ -12,9 +12,7 @@
 		return
 	}
 	n.records = event.Records
-	if target := n.records.Targets[n.self.Name]; target != nil {
-		n.parts.Limiter.SetCeiling(target.Slots)
-	}
+	n.dropSplits()
 	n.setUpstreams()
 }
 
@@ -27,6 +25,14 @@
 	}
 }
 
+// platformContact takes whether the platform can be read. While it cannot, the
+// node asks peers for newer values more often.
+func (n *Node) platformContact(ok bool) {
+	n.away = !ok
+	n.parts.Directory.Contact(n.now, ok)
+	n.clocks.gossip = min(n.clocks.gossip, n.now-n.settings.GossipAway)
+}
+
 // adopt puts a value in force if it is newer and tells some peers at once.
 func (n *Node) adopt(event *gypsumrail.Event) bool {
 	if !n.parts.Values.Adopt(n.now, event.Value, event.Peer.Name != "") {
@@ -67,6 +73,9 @@
 	n.clocks.upstreams = n.now
 	n.generation = n.parts.Directory.Generation()
 	n.self = n.parts.Directory.Self()
+	if slots := n.upstream(n.self).Slots; slots > 0 {
+		n.parts.Limiter.SetCeiling(slots)
+	}
 	for _, name := range n.serviceNames() {
 		entries := n.parts.Directory.Upstreams(name)
 		upstreams := make([]gypsumrail.Upstream, 0, len(entries))
@@ -92,7 +101,7 @@
 }
 
 func (n *Node) upstream(entry gypsumrail.Instance) gypsumrail.Upstream {
-	upstream := gypsumrail.Upstream{Instance: entry}
+	upstream := gypsumrail.Upstream{Instance: entry, Slots: entry.Slots}
 	if n.records == nil {
 		return upstream
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -76,6 +76,8 @@
 	defaults   bool
 	clocks     clocks
 	listed     bool                // the list of instances was read
+	away       bool                // reads of the platform fail
+	splits     map[string]*split   // by class
 	held       []gypsumrail.CallID // forwarded calls held while bootstrapping
 	awaiting   []gypsumrail.CallID // calls of the own target that wait for an upstream
 	draining   bool
@@ -100,6 +102,7 @@
 		epochs:   make(map[string]epoch),
 		tickets:  make(map[gypsumrail.CallID]ticket),
 		callers:  make(map[string]gypsumrail.Millis),
+		splits:   make(map[string]*split),
 		clocks:   clocks{tick: noTick, began: noTick, upstreams: -upstreamsEvery},
 	}
 }
@@ -151,6 +154,8 @@
 		n.ticketsAsked(event)
 	case gypsumrail.DrainAsked:
 		n.drain()
+	case gypsumrail.PlatformLost, gypsumrail.PlatformFound:
+		n.platformContact(event.Kind == gypsumrail.PlatformFound)
 	default:
 		n.counts.Dropped++
 	}
--- a/core/drain.go
+++ b/core/drain.go
@@ -41,7 +41,7 @@
 	}
 	elapsed := n.now - n.drainAt
 	idle := len(n.sends) == 0 && len(n.serves) == 0
-	if elapsed >= drainMax || idle && elapsed >= drainMin {
+	if elapsed >= n.settings.DrainMax || idle && elapsed >= n.settings.DrainMin {
 		n.stopped = true
 		n.notice(gypsumrail.NoticeDrainComplete, n.self.Name, gypsumrail.ReasonNone)
 		n.emit(gypsumrail.Effect{Kind: gypsumrail.Stop})
--- a/core/keys.go
+++ b/core/keys.go
@@ -37,7 +37,7 @@
 
 // takeKey finds the idempotency key of a non-repeatable call.
 func (n *Node) takeKey(s *send, arrival *gypsumrail.Arrival) gypsumrail.Reason {
-	if s.class.Repeatable {
+	if s.class.Repeatable || s.class.Unkeyed {
 		return gypsumrail.ReasonNone
 	}
 	if s.origin == gypsumrail.FromTarget && s.parent != 0 {
--- /dev/null
+++ b/core/plain_test.go
@@ -0,0 +1,131 @@
+package core_test
+
+import (
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+)
+
+// plainNode returns a node of service front with a class that needs no keys, and
+// upstreams of service back on other nodes.
+func plainNode(t *testing.T, class gypsumrail.Class) *core.Node {
+	t.Helper()
+	self := gypsumrail.Instance{Name: "front-1", Service: "front", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live}
+	n := setup.NewNode(self, core.Settings{GossipEvery: -1, FreeRefusals: true}, setup.Settings{})
+	list := []gypsumrail.Instance{self}
+	for _, name := range []string{"back-1", "back-2", "back-3", "back-4", "back-5"} {
+		list = append(list, gypsumrail.Instance{Name: name, Service: "back", Zone: "z", Address: "127.0.0.1:9" + name[5:], State: gypsumrail.Live, Slots: 10})
+	}
+	class.Name = "c"
+	class.Deadline = gypsumrail.Second
+	records := &gypsumrail.Records{
+		Revision: 1,
+		Services: map[string]*gypsumrail.Service{"front": {Name: "front"}, "back": {Name: "back"}, "spare": {Name: "spare"}},
+		Classes:  map[string]*gypsumrail.Class{"c": &class},
+	}
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: list, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: records, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
+	return n
+}
+
+func effectOf(effects []gypsumrail.Effect, kinds ...gypsumrail.EffectKind) gypsumrail.Effect {
+	for _, e := range effects {
+		for _, kind := range kinds {
+			if e.Kind == kind {
+				return e
+			}
+		}
+	}
+	return gypsumrail.Effect{}
+}
+
+func arrive(n *core.Node, call gypsumrail.CallID, at gypsumrail.Millis) gypsumrail.Effect {
+	return effectOf(n.Step(&gypsumrail.Event{
+		Kind: gypsumrail.CallArrived, Call: call, At: at, Random: uint64(call) * 0x9E3779B97F4A7C15,
+		Arrival: &gypsumrail.Arrival{Origin: gypsumrail.FromCaller, Class: "c", Request: "r", Attempt: 1, Remaining: 5 * gypsumrail.Second},
+	}), gypsumrail.Forward, gypsumrail.Refuse)
+}
+
+// Guards against a call without a key that is sent again although it may have
+// run, and against one that is given up although it has not.
+func TestUnkeyed(t *testing.T) {
+	tests := []struct {
+		name   string
+		result gypsumrail.Result
+		again  bool
+		want   gypsumrail.Outcome
+	}{
+		{"lost answer", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonBroken}, false, gypsumrail.Unknown},
+		{"silent connection", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonSilent}, false, gypsumrail.Unknown},
+		{"nothing sent", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonConnect}, true, gypsumrail.NotRun},
+		{"refused by the target", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetBusy}, true, gypsumrail.NotRun},
+		{"another instance", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonMisdirected}, true, gypsumrail.NotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := plainNode(t, gypsumrail.Class{Service: "back", Unkeyed: true, Allowance: 1})
+			if e := arrive(n, 1, 10); e.Kind != gypsumrail.Forward || e.Key != "" {
+				t.Fatalf("got %+v", e)
+			}
+			e := effectOf(n.Step(&gypsumrail.Event{
+				Kind: gypsumrail.AttemptFailed, Call: 1, Attempt: 1, At: 20, Result: &test.result,
+			}), gypsumrail.Forward, gypsumrail.Refuse)
+			if again := e.Kind == gypsumrail.Forward; again != test.again || !again && e.Outcome != test.want {
+				t.Errorf("got %+v", e)
+			}
+		})
+	}
+}
+
+// Guards against refusals of nodes that use up the retry budget, which bounds the
+// load of targets, and against a call that goes round a whole service.
+func TestFreeRefusals(t *testing.T) {
+	n := plainNode(t, gypsumrail.Class{Service: "back", Unkeyed: true})
+	e := arrive(n, 1, 10)
+	tried := map[string]bool{}
+	for attempt := 1; e.Kind == gypsumrail.Forward; attempt++ {
+		if tried[e.To.Name] {
+			t.Fatalf("%s was tried twice", e.To.Name)
+		}
+		tried[e.To.Name] = true
+		e = effectOf(n.Step(&gypsumrail.Event{
+			Kind: gypsumrail.AttemptAnswered, Call: 1, Attempt: attempt, At: 20,
+			Result: &gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonDraining},
+		}), gypsumrail.Forward, gypsumrail.Refuse)
+	}
+	if len(tried) != 4 || e.Outcome != gypsumrail.NotRun {
+		t.Errorf("%d upstreams were tried, then %+v", len(tried), e)
+	}
+}
+
+// Guards against a time limit of the class that is not kept, and against a
+// request whose client waits for less.
+func TestClassTimeout(t *testing.T) {
+	for _, test := range []struct{ timeout, want gypsumrail.Millis }{{800, 810}, {0, 5010}, {9000, 5010}} {
+		n := plainNode(t, gypsumrail.Class{Service: "back", Unkeyed: true, Timeout: test.timeout})
+		if e := arrive(n, 1, 10); e.Deadline != test.want {
+			t.Errorf("timeout %d: deadline %d, want %d", test.timeout, e.Deadline, test.want)
+		}
+	}
+}
+
+// Guards against shares of a split that miss the operators' weights in a short
+// span, and against a part without instances whose calls go to another.
+func TestSplit(t *testing.T) {
+	n := plainNode(t, gypsumrail.Class{Unkeyed: true, Split: []gypsumrail.Part{{Service: "back", Weight: 90}, {Service: "spare", Weight: 10}}})
+	const calls = 200
+	refused := 0
+	for call := range gypsumrail.CallID(calls) {
+		if e := arrive(n, call+1, 10); e.Kind == gypsumrail.Refuse {
+			refused++
+			if e.Reason != gypsumrail.ReasonNoUpstream || e.Outcome != gypsumrail.NotRun {
+				t.Fatalf("got %+v", e)
+			}
+		}
+	}
+	if refused < calls/10-1 || refused > calls/10+1 {
+		t.Errorf("%d of %d calls went to the part with a tenth of the weight", refused, calls)
+	}
+}
--- a/core/send.go
+++ b/core/send.go
@@ -54,7 +54,13 @@
 		return gypsumrail.ReasonNone
 	}
 	class, ok := n.class(arrival.Class)
-	if !ok || !n.knowsService(arrival.Service) {
+	if !ok {
+		return gypsumrail.ReasonUnknownName
+	}
+	if s.service == "" {
+		s.service = n.partFor(class)
+	}
+	if !n.knowsService(s.service) {
 		return gypsumrail.ReasonUnknownName
 	}
 	s.class = class
@@ -64,6 +70,9 @@
 	if arrival.Remaining > 0 {
 		s.deadline = n.now + arrival.Remaining
 	}
+	if class.Timeout > 0 {
+		s.deadline = min(s.deadline, n.now+class.Timeout)
+	}
 	if s.origin == gypsumrail.FromCaller {
 		s.allowance = retry.AtEntry(class.Allowance, s.attempt)
 	}
@@ -124,7 +133,7 @@
 	switch {
 	case len(n.sends) >= callsMax:
 		return gypsumrail.ReasonOverload
-	case n.draining && s.origin == gypsumrail.FromCaller:
+	case n.draining && s.origin == gypsumrail.FromCaller && !n.settings.ServeDraining:
 		return gypsumrail.ReasonDraining
 	case s.origin == gypsumrail.FromCaller && n.bootstrapping(s.class):
 		return gypsumrail.ReasonNoUpstream
@@ -181,11 +190,12 @@
 	service := n.service(s.service)
 	portion := s.allowance.Grant(service != nil && len(service.Dependencies) > 0)
 	attempt := gypsumrail.HomeAttempt(s.attempt*attemptsPerCaller + len(s.tries) + 1)
-	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, portion: portion, open: true, attempt: attempt})
+	local := upstream.Name == n.self.Name || upstream.Address != "" && upstream.Address == n.self.Address
+	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, portion: portion, open: true, local: local, attempt: attempt})
 	s.tried = append(s.tried, upstream.Name)
 	n.parts.Router.Sent(n.now, upstream.Name)
-	if upstream.Name == n.self.Name {
-		n.admitLocal(s, portion.Size(), attempt)
+	if local {
+		n.admitLocal(s, upstream, portion.Size(), attempt)
 		return
 	}
 	effect := gypsumrail.Effect{
@@ -210,7 +220,7 @@
 		if reason != gypsumrail.ReasonNone {
 			return upstream, reason
 		}
-		if s.class.Repeatable || n.makeKey(s, upstream) {
+		if s.class.Repeatable || s.class.Unkeyed || n.makeKey(s, upstream) {
 			return upstream, gypsumrail.ReasonNone
 		}
 		choice.Exclude = append(choice.Exclude, upstream.Name)
@@ -274,7 +284,7 @@
 
 func (n *Node) retryAfter(reason gypsumrail.Reason) gypsumrail.Millis {
 	switch reason {
-	case gypsumrail.ReasonOverload, gypsumrail.ReasonShed, gypsumrail.ReasonNoUpstream,
+	case gypsumrail.ReasonOverload, gypsumrail.ReasonShed, gypsumrail.ReasonNoUpstream, gypsumrail.ReasonTargetBusy,
 		gypsumrail.ReasonNoAllowance, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonDraining:
 		return retryAfterMin + gypsumrail.Millis(n.random.Uint64()%uint64(retryAfterSpread))
 	}
@@ -316,7 +326,7 @@
 		}
 		t.open = false
 		n.parts.Router.Failed(n.now, t.upstream.Name, gypsumrail.ReasonCallerGone)
-		if t.upstream.Name != n.self.Name {
+		if !t.local {
 			n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: s.call, Attempt: i + 1})
 		} else if v := n.serves[s.call]; v != nil {
 			n.cancelServe(v, gypsumrail.ReasonCallerGone)
--- a/core/serve.go
+++ b/core/serve.go
@@ -32,8 +32,9 @@
 }
 
 // admitLocal takes a call that this node's sender role routed to its own target.
-func (n *Node) admitLocal(s *send, retries int, attempt gypsumrail.HomeAttempt) {
+func (n *Node) admitLocal(s *send, meant gypsumrail.Instance, retries int, attempt gypsumrail.HomeAttempt) {
 	v := n.newServe(s.call)
+	v.meant = meant
 	v.local = true
 	v.service = s.service
 	v.class = s.class
@@ -165,7 +166,7 @@
 	v.started = n.now
 	v.inFlight = n.running
 	n.emit(gypsumrail.Effect{
-		Kind: gypsumrail.RunTarget, Call: v.call, Deadline: v.deadline, Key: v.keyText, Importance: v.importance,
+		Kind: gypsumrail.RunTarget, Call: v.call, To: v.meant, Deadline: v.deadline, Key: v.keyText, Importance: v.importance,
 	})
 }
 
@@ -249,9 +250,9 @@
 	t.open = false
 	s.allowance.Return(&t.portion, left)
 	if outcome == gypsumrail.NotRun && reason != gypsumrail.ReasonConnect && reason != gypsumrail.ReasonTargetFailed {
-		n.parts.Router.Answered(n.now, n.self.Name, noLatency, n.ownReport())
+		n.parts.Router.Answered(n.now, t.upstream.Name, noLatency, n.ownReport())
 	} else {
-		n.parts.Router.Failed(n.now, n.self.Name, reason)
+		n.parts.Router.Failed(n.now, t.upstream.Name, reason)
 	}
 	n.ended(s, attempt, outcome, reason)
 }
--- a/core/settings.go
+++ b/core/settings.go
@@ -22,6 +22,16 @@
 	NoEarlyShed   bool              // do not refuse at the entry for deeper services
 	NoDeadlines   bool              // do not refuse work that cannot finish in time
 	GossipEvery   gypsumrail.Millis // default 1 s; negative turns the exchange off
+	GossipAway    gypsumrail.Millis // the same while the platform cannot be read; default GossipEvery
+	// FreeRefusals lets a call that a node refused before its target saw it go to
+	// another upstream without taking from the retry budget, which bounds the load
+	// of targets. At most RefusalsMax refusals of one call are free.
+	FreeRefusals bool
+	// ServeDraining lets a draining node go on with the calls of its own callers,
+	// who may have no other node to go to. Other nodes' calls are always refused.
+	ServeDraining bool
+	DrainMin      gypsumrail.Millis // shortest drain; default 1 s
+	DrainMax      gypsumrail.Millis // after which what still runs is cut; default 30 s
 }
 
 const (
@@ -47,5 +57,14 @@
 	if s.GossipEvery == 0 {
 		s.GossipEvery = defaultGossipEvery
 	}
+	if s.DrainMin == 0 {
+		s.DrainMin = drainMin
+	}
+	if s.DrainMax == 0 {
+		s.DrainMax = drainMax
+	}
+	if s.GossipAway == 0 {
+		s.GossipAway = s.GossipEvery
+	}
 	return s
 }
--- a/core/settle.go
+++ b/core/settle.go
@@ -12,7 +12,7 @@
 	t := &s.tries[attempt-1]
 	s.resolving = true
 	n.counts.Resolves++
-	if t.upstream.Name == n.self.Name {
+	if t.local {
 		outcome, reason := n.settle(s.key, t.attempt)
 		n.settled(s, attempt, outcome, reason)
 		return
@@ -86,7 +86,7 @@
 	case gypsumrail.NotRun:
 		s.homeSpoke = true
 		if n.mayRetry(s, gypsumrail.ReasonBroken) {
-			n.retry(s)
+			n.retry(s, gypsumrail.ReasonBroken)
 			return
 		}
 		n.finishRefused(s, gypsumrail.ReasonBroken)
--- a/core/target.go
+++ b/core/target.go
@@ -33,7 +33,7 @@
 	}
 	t := &s.tries[len(s.tries)-1]
 	s.allowance.Return(&t.portion, left)
-	n.parts.Router.Answered(n.now, n.self.Name, n.now-t.sent, n.ownReport())
+	n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, n.ownReport())
 	if event.Result.Status < 500 {
 		n.parts.Budget.Succeeded(n.now, s.service)
 	}
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -38,7 +38,11 @@
 		n.clocks.observe = n.now
 		n.observe()
 	}
-	if n.settings.GossipEvery > 0 && n.now-n.clocks.gossip >= n.settings.GossipEvery {
+	every := n.settings.GossipEvery
+	if n.away || !n.listed || n.records == nil {
+		every = n.settings.GossipAway
+	}
+	if every > 0 && n.now-n.clocks.gossip >= every {
 		n.clocks.gossip = n.now
 		n.gossip()
 	}
@@ -73,7 +77,7 @@
 		if !t.open {
 			continue
 		}
-		if v := n.serves[s.call]; t.upstream.Name == n.self.Name && v != nil && !v.running {
+		if v := n.serves[s.call]; t.local && v != nil && !v.running {
 			continue // still queued here, so it did not run
 		}
 		s.mayHaveRun = true
@@ -130,6 +134,7 @@
 // expireState cleans the state that changes slowly.
 func (n *Node) expireState() {
 	n.parts.Ledger.Expire(n.now)
+	n.parts.Directory.Expire(n.now)
 	for name, seen := range n.callers {
 		if n.now-seen > callerLife {
 			delete(n.callers, name)
--- a/core/tries.go
+++ b/core/tries.go
@@ -28,7 +28,7 @@
 	switch {
 	case passes:
 		n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
-	case result.Reason == gypsumrail.ReasonTargetFailed:
+	case result.Reason == gypsumrail.ReasonTargetFailed, result.Reason == gypsumrail.ReasonMisdirected:
 		// The node lives but its target does not, so it must not attract calls by
 		// refusing them fast.
 		n.parts.Router.Failed(n.now, t.upstream.Name, result.Reason)
@@ -50,7 +50,7 @@
 		s.tries[attempt-1].open = false
 		n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: s.call, Attempt: attempt})
 		s.mayHaveRun = true
-		n.retry(s)
+		n.retry(s, gypsumrail.ReasonOverload)
 		return
 	}
 	if result.Status < http.StatusInternalServerError {
@@ -66,16 +66,12 @@
 func (n *Node) answer(s *send, attempt int) {
 	s.answering = true
 	n.due.Delete(due{s.deadline, s.call})
-	if s.upstreamIsSelf(n.self.Name, attempt) {
+	if attempt >= 1 && s.tries[attempt-1].local {
 		attempt = 0
 	}
 	n.emit(gypsumrail.Effect{Kind: gypsumrail.Answer, Call: s.call, Attempt: attempt, Hints: n.allHints()})
 }
 
-func (s *send) upstreamIsSelf(self string, attempt int) bool {
-	return attempt >= 1 && s.tries[attempt-1].upstream.Name == self
-}
-
 // isOverloadStatus tells whether a target's answer means that it shed the call.
 func isOverloadStatus(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -125,7 +121,7 @@
 		}
 	}
 	if n.mayRetry(s, reason) {
-		n.retry(s)
+		n.retry(s, reason)
 		return
 	}
 	n.finishRefused(s, reason)
@@ -156,6 +152,9 @@
 	case RetryPerHop:
 		return len(s.tries) <= n.settings.RetriesPerHop
 	}
+	if n.settings.FreeRefusals && !reachedTarget(reason) {
+		return s.refusals < refusalsMax && (!isLoad(reason) || n.parts.Router.HasRoom(n.now, n.choice(s)))
+	}
 	if s.allowance.Left() < 1 {
 		return false
 	}
@@ -165,6 +164,21 @@
 	return n.parts.Budget.Take(n.now, s.service)
 }
 
+// refusalsMax bounds the refusals of one call that are free with FreeRefusals, so
+// that a call does not visit a whole service that is full.
+const refusalsMax = 3
+
+// reachedTarget tells whether an attempt that ended for the reason may have put
+// load on a target. A node's own refusal and a connection that was not opened do not.
+func reachedTarget(reason gypsumrail.Reason) bool {
+	switch reason {
+	case gypsumrail.ReasonTargetBusy, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonBroken, gypsumrail.ReasonSilent,
+		gypsumrail.ReasonMisdirected:
+		return true
+	}
+	return false
+}
+
 // isRetryable tells whether another upstream could do better.
 func isRetryable(reason gypsumrail.Reason) bool {
 	switch reason {
@@ -183,8 +197,11 @@
 }
 
 // retry spends one retry and sends the call again.
-func (n *Node) retry(s *send) {
-	if n.settings.Retry == RetryChain {
+func (n *Node) retry(s *send, reason gypsumrail.Reason) {
+	switch {
+	case n.settings.FreeRefusals && !reachedTarget(reason):
+		s.refusals++
+	case n.settings.Retry == RetryChain:
 		s.allowance.Spend()
 	}
 	n.counts.Retries++
--- a/effect.go
+++ b/effect.go
@@ -11,7 +11,7 @@
 // one.
 const (
 	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt
-	RunTarget     EffectKind = "RunTarget"     // Call, Deadline
+	RunTarget     EffectKind = "RunTarget"     // Call, To (if this node chose it), Deadline
 	Answer        EffectKind = "Answer"        // Call, Attempt (0: the own target), Allowance, Report, Hints: pass the answer on
 	Refuse        EffectKind = "Refuse"        // Call, Outcome, Reason, RetryAfter, Allowance, Report, Hints, Keys
 	Join          EffectKind = "Join"          // Call, Onto: the answer of call Onto goes to the caller of Call
--- a/event.go
+++ b/event.go
@@ -26,6 +26,8 @@
 	Resolved        EventKind = "Resolved"        // Call, Attempt, Result: the home's answer, Unknown if there was none
 	TicketsAsked    EventKind = "TicketsAsked"    // Call (to answer), Arrival (Service, Class), Count
 	DrainAsked      EventKind = "DrainAsked"      // nothing
+	PlatformLost    EventKind = "PlatformLost"    // nothing: reads of the platform fail
+	PlatformFound   EventKind = "PlatformFound"   // nothing: a read succeeded after failures
 )
 
 // Event is something that happened to a node. One struct serves all kinds, so
--- a/internal/cmds/verbs/main.go
+++ b/internal/cmds/verbs/main.go
@@ -28,6 +28,7 @@
 		{"check", "check record sets and report all faults", runCheck},
 		{"explain", "tell which upstreams can serve a request, and why", runExplain},
 		{"node", "run the node beside one target", runNode},
+		{"sidecar", "run the node beside one target of the users' platform", runSidecar},
 		{"replay", "replay traces and check their stated outcomes", runReplay},
 		{"demo", "show what the layer does under overload, in one process", runDemo},
 		{"status", "show what a node holds in force and why", runStatus},
--- a/internal/node/build/node.go
+++ b/internal/node/build/node.go
@@ -176,17 +176,20 @@
 
 func newRecords() *inForce { return &inForce{} }
 
+// tuning returns what the records in force say of a service.
+func (f *inForce) tuning(name string) route.Tuning {
+	if f.records == nil || f.records() == nil {
+		return route.Tuning{}
+	}
+	service := f.records().Services[name]
+	if service == nil {
+		return route.Tuning{}
+	}
+	return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
+}
+
 func newRouter(self gypsumrail.Instance, force *inForce) gypsumrail.Router {
-	return route.New(self, route.Settings{Tuning: func(name string) route.Tuning {
-		if force.records == nil || force.records() == nil {
-			return route.Tuning{}
-		}
-		service := force.records().Services[name]
-		if service == nil {
-			return route.Tuning{}
-		}
-		return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
-	}})
+	return route.New(self, route.Settings{Tuning: force.tuning})
 }
 
 type decisions struct {
@@ -202,8 +205,10 @@
 	Values    gypsumrail.Values
 }
 
-func newReducer(d decisions, force *inForce) *core.Node {
-	node := core.New(core.Settings{}, core.Parts{
+func newReducer(d decisions, force *inForce) *core.Node { return newNode(core.Settings{}, d, force) }
+
+func newNode(settings core.Settings, d decisions, force *inForce) *core.Node {
+	node := core.New(settings, core.Parts{
 		Limiter: d.Limiter, Queue: d.Queue, Shedder: d.Shedder, Router: d.Router,
 		Budget: d.Budget, Ledger: d.Ledger, Directory: d.Directory, Values: d.Values,
 	})
--- /dev/null
+++ b/internal/node/follow/follow_test.go
@@ -0,0 +1,154 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// script is a store whose answers are given in order. After the last one it
+// waits for the end of the test.
+type script struct {
+	mu    sync.Mutex
+	steps []step
+	calls []string
+	ended chan struct{}
+}
+
+type step struct {
+	items gypsumrail.Items
+	err   error
+}
+
+func (s *script) answer(ctx context.Context, call string) (gypsumrail.Items, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		select {
+		case <-s.ended:
+		default:
+			close(s.ended)
+		}
+		s.mu.Unlock()
+		<-ctx.Done()
+		return gypsumrail.Items{}, gypsumrail.ErrStoreUnavailable
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	s.mu.Unlock()
+	return next.items, next.err
+}
+
+func (s *script) List(ctx context.Context, _, after string) (gypsumrail.Items, error) {
+	return s.answer(ctx, "list "+after)
+}
+
+func (s *script) Changes(ctx context.Context, _ string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
+	call := "watch " + string(rune('0'+since))
+	if wait == 0 {
+		call += " now"
+	}
+	return s.answer(ctx, call)
+}
+
+func item(key string, revision uint64) gypsumrail.Item {
+	return gypsumrail.Item{Key: key, Revision: revision, Data: []byte{byte('0' + revision)}}
+}
+
+func removed(key string, revision uint64) gypsumrail.Item {
+	return gypsumrail.Item{Key: key, Revision: revision, Removed: true}
+}
+
+func items(revision uint64, list ...gypsumrail.Item) gypsumrail.Items {
+	return gypsumrail.Items{List: list, Revision: revision}
+}
+
+// Guards against a copy that misses a change between the pages of a listing or
+// across a dropped history, brings back an old value, or hides an outage.
+func TestFollow(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+		want  []string // what was handed on, and contacts
+		calls []string
+	}{
+		{
+			"pages are no snapshot",
+			[]step{
+				{items: gypsumrail.Items{List: []gypsumrail.Item{item("a", 1)}, Revision: 3, More: true}},
+				{items: items(5, item("b", 5), item("c", 2))},
+				{items: items(6, item("b", 4), item("a", 6), removed("c", 6))},
+			},
+			[]string{"3 a1 b5 c2", "6 a6 b5"},
+			[]string{"list ", "list a", "watch 3", "watch 6"},
+		},
+		{
+			"history dropped",
+			[]step{
+				{items: items(1, item("a", 1))},
+				{err: gypsumrail.ErrHistoryGone},
+				{items: items(5, item("b", 4))},
+			},
+			[]string{"1 a1", "5 b4"},
+			[]string{"list ", "watch 1", "list ", "watch 5"},
+		},
+		{
+			"away and back",
+			[]step{
+				{err: gypsumrail.ErrStoreUnavailable},
+				{items: items(1, item("a", 1))},
+				{err: gypsumrail.ErrStoreUnavailable},
+				{err: gypsumrail.ErrStoreUnavailable},
+				{items: items(2, removed("a", 2))},
+			},
+			[]string{"lost", "found", "1 a1", "lost", "found", "2"},
+			[]string{"list ", "list ", "watch 1", "watch 1 now", "watch 1 now", "watch 2"},
+		},
+		{
+			"nothing new",
+			[]step{{items: items(4, item("a", 4))}, {items: items(4)}, {items: items(7)}, {items: items(8, item("a", 4))}},
+			[]string{"4 a4"},
+			[]string{"list ", "watch 4", "watch 4", "watch 7", "watch 8"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &script{steps: test.steps, ended: make(chan struct{})}
+			var got []string
+			take := func(list []gypsumrail.Item, revision uint64) {
+				line := string(rune('0' + revision))
+				for _, i := range list {
+					line += " " + i.Key + string(i.Data)
+				}
+				got = append(got, line)
+			}
+			contact := func(err error) {
+				if err != nil {
+					got = append(got, "lost")
+				} else {
+					got = append(got, "found")
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				New(s, "p/", take, contact).Run(ctx)
+			}()
+			<-s.ended
+			cancel()
+			<-done
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("handed on (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.calls, s.calls); diff != "" {
+				t.Errorf("calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/node/link/transport.go
+++ b/internal/node/link/transport.go
@@ -123,7 +123,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
 		},
-		Control: setUserTimeout,
+		Control: UserTimeout(userTimeout),
 	}
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
--- a/internal/node/link/usertimeout_other.go
+++ b/internal/node/link/usertimeout_other.go
@@ -2,7 +2,10 @@
 
 package link
 
-import "syscall"
+import (
+	"syscall"
+	"time"
+)
 
-// setUserTimeout does nothing: only Linux has the option.
-func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
+// UserTimeout does nothing: only Linux has the option.
+func UserTimeout(time.Duration) func(network, address string, c syscall.RawConn) error { return nil }
--- a/internal/node/meter/names.go
+++ b/internal/node/meter/names.go
@@ -126,6 +126,7 @@
 		gypsumrail.ReasonHomeGone, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonSilent,
 		gypsumrail.ReasonBroken, gypsumrail.ReasonConnect, gypsumrail.ReasonCallerGone,
 		gypsumrail.ReasonSuperseded, gypsumrail.ReasonTooDeep,
+		gypsumrail.ReasonTargetBusy, gypsumrail.ReasonMisdirected, gypsumrail.ReasonTimeout,
 		wire.ReasonMalformed, wire.ReasonHeadersTooLong, wire.ReasonBodyTooLong, wire.ReasonBusy,
 	)
 )
--- a/internal/node/notice/notice_test.go
+++ b/internal/node/notice/notice_test.go
@@ -70,7 +70,7 @@
 		last = e.Number
 		listed["Notice"+e.Name] = e.Number
 	}
-	declared := constants(t, "../../..", "../shell")
+	declared := constants(t, "../../..", "../shell", "../relay")
 	if len(declared) == 0 {
 		t.Fatal("no constants found")
 	}
--- /dev/null
+++ b/internal/node/relay/values.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/feed"
+	"github.com/gypsumrail/gypsumrail/internal/node/follow"
+	"github.com/gypsumrail/gypsumrail/internal/node/peer"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
+)
+
+// follow watches the records and the instances on the platform.
+func (r *Relay) follow(work *sync.WaitGroup) {
+	catalog := r.parts.Catalog
+	records := follow.New(r.parts.Store, catalog.RecordsKey(), r.takeRecords, r.contact(gypsumrail.ValueRecords))
+	instances := follow.New(r.parts.Store, catalog.InstancesPrefix(), r.takeInstances(), r.contact(gypsumrail.ValueInstances))
+	work.Go(func() { records.Run(r.base) })
+	work.Go(func() { instances.Run(r.base) })
+}
+
+// contact returns what takes the loss and the return of the platform. The reducer
+// counts it as lost while either of the two values cannot be read.
+func (r *Relay) contact(name gypsumrail.ValueName) follow.Contact {
+	return func(err error) {
+		event := gypsumrail.Event{Kind: gypsumrail.PlatformFound}
+		r.mu.Lock()
+		if err != nil {
+			r.lost++
+		} else {
+			r.lost--
+		}
+		if r.lost > 0 {
+			event.Kind = gypsumrail.PlatformLost
+		}
+		r.step(&event)
+		out := r.take()
+		r.mu.Unlock()
+		write(out, nil)
+		if err != nil {
+			r.lines.Put(shell.NoticePlatformAway, string(name), gypsumrail.ReasonNone, err.Error())
+		} else {
+			r.lines.Put(shell.NoticePlatformBack, string(name), gypsumrail.ReasonNone, "")
+		}
+	}
+}
+
+// takeRecords offers what operators published.
+func (r *Relay) takeRecords(items []gypsumrail.Item, _ uint64) {
+	for i := range items {
+		if items[i].Key == r.parts.Catalog.RecordsKey() {
+			r.offerRecords(items[i].Data, gypsumrail.Instance{})
+		}
+	}
+}
+
+// offerRecords decodes records and gives them to the reducer, which adopts them
+// if they are newer. Faulty ones are logged and dropped as a whole.
+func (r *Relay) offerRecords(content []byte, from gypsumrail.Instance) {
+	r.applied.Lock()
+	defer r.applied.Unlock()
+	records, err := r.parts.Catalog.Records(content)
+	if err != nil {
+		r.lines.Put(shell.NoticeRecordsRejected, from.Name, gypsumrail.ReasonNone, err.Error())
+		return
+	}
+	records.IndexRoutes()
+	version := gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: records.Revision, Hash: peer.HashOf(content)}
+	if err := r.values.Offer(feed.Value{Version: version, Content: content}); err != nil {
+		r.lines.Put(shell.NoticeRecordsRejected, from.Name, gypsumrail.ReasonNone, err.Error())
+		return
+	}
+	r.mu.Lock()
+	r.step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Value: version, Records: records, Peer: from})
+	if r.values.Revision(gypsumrail.ValueRecords) == records.Revision {
+		r.records.Store(records)
+	}
+	out := r.take()
+	r.mu.Unlock()
+	write(out, nil)
+}
+
+// takeInstances returns what makes a list of the items of instances. An item that
+// cannot be read names no instance; it is logged once for each of its revisions.
+func (r *Relay) takeInstances() follow.Take {
+	rejected := make(map[string]uint64)
+	return func(items []gypsumrail.Item, revision uint64) {
+		list := make([]gypsumrail.Instance, 0, len(items))
+		for i := range items {
+			instance, err := r.parts.Catalog.Instance(items[i])
+			if err == nil {
+				err = wire.CheckInstance(&instance)
+			}
+			if err == nil {
+				list = append(list, instance)
+				continue
+			}
+			if rejected[items[i].Key] != items[i].Revision && len(rejected) < rejectedMax {
+				rejected[items[i].Key] = items[i].Revision
+				r.lines.Put(shell.NoticeInstancesRejected, items[i].Key, gypsumrail.ReasonNone, err.Error())
+			}
+		}
+		r.offerInstances(list, gypsumrail.Revision(revision), nil, gypsumrail.Instance{})
+	}
+}
+
+// rejectedMax bounds the faulty items that are remembered.
+const rejectedMax = 4096
+
+// offerInstances gives a list to the reducer. Content is the list as peers pull
+// it, or nil to make it.
+func (r *Relay) offerInstances(list []gypsumrail.Instance, revision gypsumrail.Revision, content []byte, from gypsumrail.Instance) {
+	r.applied.Lock()
+	defer r.applied.Unlock()
+	var err error
+	if content == nil {
+		content, err = wire.FormatInstances(list)
+	}
+	version := gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: revision, Hash: peer.HashOf(content)}
+	if err == nil {
+		err = r.values.Offer(feed.Value{Version: version, Content: content})
+	}
+	if err != nil {
+		r.lines.Put(shell.NoticeInstancesRejected, from.Name, gypsumrail.ReasonNone, err.Error())
+		return
+	}
+	r.post(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Value: version, Instances: list, Peer: from})
+	r.listed.Store(true)
+}
+
+// controlAddress returns where a node answers control messages: the port behind
+// that of its calls.
+func controlAddress(calls string) string {
+	address, err := netip.ParseAddrPort(calls)
+	if err != nil {
+		return calls // the dial that follows fails and says why
+	}
+	return netip.AddrPortFrom(address.Addr(), address.Port()+1).String()
+}
+
+// behind asks a node that sent a call under newer records for them.
+func (r *Relay) behind(remote net.Addr, revision gypsumrail.Revision) {
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return
+	}
+	_, port, _ := strings.Cut(r.settings.Self.Address, ":")
+	r.pullFrom(net.JoinHostPort(host, port), revision)
+}
+
+// pullFrom fetches newer records of which an answer or a call told.
+func (r *Relay) pullFrom(address string, revision gypsumrail.Revision) {
+	r.post(&gypsumrail.Event{
+		Kind: gypsumrail.Exchanged, Exchange: &gypsumrail.Exchange{
+			Answer: true,
+			From:   gypsumrail.Instance{Name: address, Service: r.settings.Self.Service, Zone: r.settings.Self.Zone, Address: address, State: gypsumrail.Live},
+			Digest: gypsumrail.Digest{Values: []gypsumrail.ValueVersion{{Name: gypsumrail.ValueRecords, Revision: revision}}},
+		},
+	})
+}
+
+// pull fetches a value from a peer.
+func (r *Relay) pull(from gypsumrail.Instance, wanted gypsumrail.ValueVersion) {
+	if !r.enter() {
+		return
+	}
+	defer r.exit()
+	ctx, cancel := context.WithTimeout(r.base, pullTime)
+	defer cancel()
+	version, content, err := r.control.Pull(ctx, controlAddress(from.Address), wanted)
+	if err != nil {
+		if r.base.Err() == nil {
+			r.lines.Put(shell.NoticePullFailed, from.Address, gypsumrail.ReasonNone, err.Error())
+		}
+		return
+	}
+	if version.Name == gypsumrail.ValueRecords {
+		r.offerRecords(content, from)
+		return
+	}
+	list, err := wire.ParseInstances(content)
+	if err != nil {
+		r.lines.Put(shell.NoticeInstancesRejected, from.Address, gypsumrail.ReasonNone, err.Error())
+		return
+	}
+	r.offerInstances(list, version.Revision, content, from)
+}
--- a/internal/node/wire/answer.go
+++ b/internal/node/wire/answer.go
@@ -72,6 +72,9 @@
 	return err == nil && n > 0
 }
 
+// ValidText tells whether a value can be the identity of a request.
+func ValidText(value string) bool { return validText(value, requestMax) }
+
 // ValidName tells whether a value can be the name of a service, class, tenant, zone or instance.
 func ValidName(value string) bool { return validName(value) }
 
@@ -85,7 +88,7 @@
 		h.Set(HeaderReport, formatReport(result.Report))
 	}
 	if len(result.Hints) > 0 {
-		h.Set(HeaderHints, formatHints(result.Hints))
+		h.Set(HeaderHints, FormatHints(result.Hints))
 	}
 }
 
@@ -112,7 +115,7 @@
 		result.Report, f.err = parseReport(value)
 	}
 	if value := f.one(HeaderHints, false); value != "" && f.err == nil {
-		result.Hints, f.err = parseHints(value)
+		result.Hints, f.err = ParseHints(value)
 	}
 	if f.err != nil {
 		return gypsumrail.Result{}, f.err
@@ -167,7 +170,8 @@
 	return r, nil
 }
 
-func formatHints(hints []gypsumrail.Hint) string {
+// FormatHints writes hints in the form that ParseHints reads. Hints beyond HintsMax are left out.
+func FormatHints(hints []gypsumrail.Hint) string {
 	var b strings.Builder
 	for i, hint := range hints[:min(len(hints), HintsMax)] {
 		if i > 0 {
@@ -179,7 +183,8 @@
 	return b.String()
 }
 
-func parseHints(value string) ([]gypsumrail.Hint, error) {
+// ParseHints reads the hints on an answer of another node.
+func ParseHints(value string) ([]gypsumrail.Hint, error) {
 	parts := strings.SplitN(value, ",", HintsMax+1)
 	if len(parts) > HintsMax {
 		return nil, &FieldError{Field: HeaderHints, Problem: fmt.Sprintf("has more than %d entries", HintsMax)}
--- a/internal/node/wire/list.go
+++ b/internal/node/wire/list.go
@@ -11,6 +11,9 @@
 // instancesMax bounds the platform's list. The target size is 640 instances.
 const instancesMax = 8192
 
+// coldMax bounds how long a target may say that it stays slow.
+const coldMax = 10 * gypsumrail.Minute
+
 type listBody struct {
 	Instances []listEntry
 }
@@ -22,6 +25,8 @@
 	Address     string
 	Incarnation uint64 `json:",omitempty"`
 	Leaving     bool   `json:",omitempty"`
+	Slots       int    `json:",omitempty"`
+	Cold        int64  `json:",omitempty"` // milliseconds
 }
 
 // ParseInstances reads the platform's list of instances. A malformed entry
@@ -42,9 +47,6 @@
 	out := make([]gypsumrail.Instance, 0, len(body.Instances))
 	seen := make(map[string]bool, len(body.Instances))
 	for i, e := range body.Instances {
-		if !validName(e.Name) || !validName(e.Service) || !validName(e.Zone) || !ValidAddress(e.Address) {
-			return nil, &FieldError{Field: fmt.Sprintf("Instances[%d]", i), Problem: "has a missing or malformed name, service, zone or address"}
-		}
 		if seen[e.Name] {
 			return nil, &FieldError{Field: fmt.Sprintf("Instances[%d]", i), Problem: "repeats a name"}
 		}
@@ -53,14 +55,38 @@
 		if e.Leaving {
 			state = gypsumrail.Leaving
 		}
-		out = append(out, gypsumrail.Instance{
+		instance := gypsumrail.Instance{
 			Name: e.Name, Service: e.Service, Zone: e.Zone, Address: e.Address,
 			Incarnation: gypsumrail.Incarnation(e.Incarnation), State: state,
-		})
+			Slots: e.Slots, Cold: gypsumrail.Millis(e.Cold),
+		}
+		if err := CheckInstance(&instance); err != nil {
+			return nil, fmt.Errorf("entry %d of Instances: %w", i, err)
+		}
+		out = append(out, instance)
 	}
 	return out, nil
 }
 
+// CheckInstance tells whether an entry of a list can be used. The error is a
+// *FieldError.
+func CheckInstance(i *gypsumrail.Instance) error {
+	for _, field := range [...]struct{ name, value string }{{"Name", i.Name}, {"Service", i.Service}, {"Zone", i.Zone}} {
+		if !validName(field.value) {
+			return &FieldError{Field: field.name, Problem: "is missing or malformed"}
+		}
+	}
+	switch {
+	case !ValidAddress(i.Address):
+		return &FieldError{Field: "Address", Problem: "is not an IP address and port"}
+	case i.Slots < 0 || i.Slots > slotsMax:
+		return &FieldError{Field: "Slots", Problem: fmt.Sprintf("must be from 0 to %d", slotsMax)}
+	case i.Cold < 0 || i.Cold > coldMax:
+		return &FieldError{Field: "Cold", Problem: fmt.Sprintf("must be from 0 to %d ms", coldMax)}
+	}
+	return nil
+}
+
 // FormatInstances writes a list that ParseInstances reads.
 func FormatInstances(list []gypsumrail.Instance) ([]byte, error) {
 	body := listBody{Instances: make([]listEntry, 0, len(list))}
@@ -68,6 +94,7 @@
 		body.Instances = append(body.Instances, listEntry{
 			Name: i.Name, Service: i.Service, Zone: i.Zone, Address: i.Address,
 			Incarnation: uint64(i.Incarnation), Leaving: i.State == gypsumrail.Leaving,
+			Slots: i.Slots, Cold: int64(i.Cold),
 		})
 	}
 	content, err := json.Marshal(body)
--- a/internal/node/wire/problem.go
+++ b/internal/node/wire/problem.go
@@ -50,6 +50,9 @@
 	gypsumrail.ReasonCallerGone:   {http.StatusServiceUnavailable, "The caller left"},
 	gypsumrail.ReasonSuperseded:   {http.StatusConflict, "A resend of the same request took over"},
 	gypsumrail.ReasonTooDeep:      {http.StatusBadRequest, "The call chain is too deep"},
+	gypsumrail.ReasonTargetBusy:   {http.StatusServiceUnavailable, "The target refused the request without running it"},
+	gypsumrail.ReasonMisdirected:  {http.StatusServiceUnavailable, "Another instance has the address"},
+	gypsumrail.ReasonTimeout:      {http.StatusGatewayTimeout, "The longest wait of the class is over"},
 }
 
 // StatusOf returns the HTTP status for a reason; 503 for one that it does not
--- /dev/null
+++ b/match.go
@@ -0,0 +1,39 @@
+package gypsumrail
+
+import "strings"
+
+// Match returns the class of a plain request: among the classes of the host, the
+// one with the longest prefix that begins the path. The query of the path does
+// not count.
+func (r *Records) Match(host, path string) (*Class, bool) {
+	prefixes := r.routes[host]
+	if prefixes == nil {
+		return nil, false
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if path[end-1] != '/' {
+			continue
+		}
+		if class := prefixes[path[:end]]; class != nil {
+			return class, true
+		}
+	}
+	return nil, false
+}
+
+// IndexRoutes prepares Match. It is called once, before the records are used.
+func (r *Records) IndexRoutes() {
+	r.routes = make(map[string]map[string]*Class)
+	for _, class := range r.Classes {
+		if class.Route.Host == "" {
+			continue
+		}
+		prefixes := r.routes[class.Route.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Class)
+			r.routes[class.Route.Host] = prefixes
+		}
+		prefixes[class.Route.Prefix] = class
+	}
+}
--- /dev/null
+++ b/match_test.go
@@ -0,0 +1,29 @@
+package gypsumrail
+
+import "testing"
+
+// Guards against a request that gets the class of a shorter prefix or of another
+// host, and against a class for a path that no prefix begins.
+func TestMatch(t *testing.T) {
+	r := &Records{Classes: map[string]*Class{}}
+	for name, route := range map[string]Route{
+		"all": {"a", "/"}, "x": {"a", "/x/"}, "xy": {"a", "/x/y/"}, "other": {"b", "/x/"},
+	} {
+		r.Classes[name] = &Class{Name: name, Route: route}
+	}
+	r.Classes["unrouted"] = &Class{Name: "unrouted"}
+	r.IndexRoutes()
+	for _, test := range []struct{ host, path, want string }{
+		{"a", "/", "all"}, {"a", "/x", "all"}, {"a", "/x/", "x"}, {"a", "/x/1", "x"}, {"a", "/x/y", "x"},
+		{"a", "/x/y/z/w", "xy"}, {"a", "/q?to=/x/y/", "all"}, {"b", "/x/1?q", "other"}, {"b", "/y/", ""}, {"c", "/x/", ""},
+		{"b", "", ""}, {"", "/", ""},
+	} {
+		got := ""
+		if class, ok := r.Match(test.host, test.path); ok {
+			got = class.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s is of class %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
--- a/member.go
+++ b/member.go
@@ -20,6 +20,8 @@
 	Incarnation Incarnation
 	Version     uint64 // raised only by the instance itself
 	State       State
+	Slots       int    `json:",omitempty"` // calls that its target runs at once; 0 if only the records tell
+	Cold        Millis `json:",omitempty"` // that its target stays slow after its start, as of when this was read
 }
 
 // Digest is the state of a node's directory and values in short form, for
@@ -82,6 +84,10 @@
 	IsReader() bool
 	// Generation grows with each change of the directory.
 	Generation() uint64
+	// Contact takes whether the platform can be read.
+	Contact(now Millis, ok bool)
+	// Expire drops entries whose time is over. It is called every second.
+	Expire(now Millis)
 	// Len returns the number of entries.
 	Len() int
 }
--- a/names.go
+++ b/names.go
@@ -81,4 +81,7 @@
 	ReasonCallerGone   Reason = "CallerGone"   // the caller left
 	ReasonSuperseded   Reason = "Superseded"   // a resend of the same request took over the answer
 	ReasonTooDeep      Reason = "TooDeep"      // the chain is deeper than the limit
+	ReasonTargetBusy   Reason = "TargetBusy"   // the target itself refused the call without running it
+	ReasonMisdirected  Reason = "Misdirected"  // another instance has the address of the one that was meant
+	ReasonTimeout      Reason = "Timeout"      // the longest wait that the class allows is over
 )
--- a/records.go
+++ b/records.go
@@ -9,6 +9,17 @@
 	Targets  map[string]*Target
 	Classes  map[string]*Class
 	Tenants  map[string]*Tenant
+	Limits   Limits // of what a plain client may send; zero fields take the defaults
+
+	routes map[string]map[string]*Class // by host and prefix
+}
+
+// Limits bounds what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  Millis // from the first byte of a head to its last
+	IdleTime    Millis // of a kept connection without a request
 }
 
 // Service describes one service of the call graph.
@@ -44,6 +55,24 @@
 	LateIsWorthless bool                // an answer after the deadline has no value
 	AnswerBytes     int64               // expected size of the answer
 	Allowance       int                 // retries of one user request over the whole chain
+	Unkeyed         bool                // not repeatable, and callers give no idempotency key: what may have run is not sent again
+	AttemptsMax     int                 // sends of one attempt of the caller; 0 leaves it to Allowance
+	Timeout         Millis              // longest wait of one attempt of the caller; 0 for none
+	Objective       Millis              // latency up to which an answer has its full value; 0 if unknown
+	Route           Route               // which plain requests are of the class
+	Split           []Part              // services that share the calls; empty if Service takes all
+}
+
+// Route selects plain requests by host and path.
+type Route struct {
+	Host   string
+	Prefix string // begins and ends with a slash; the longest one that begins the path counts
+}
+
+// Part is one service's share of the calls of a class.
+type Part struct {
+	Service string
+	Weight  int // relative to the weights of the other parts, at least 0
 }
 
 // Tenant limits the share of one customer.
--- a/route/eject.go
+++ b/route/eject.go
@@ -15,6 +15,25 @@
 	ejectMax = 2 * gypsumrail.Second
 )
 
+// ejectGone is how long an upstream stays out whose address another instance
+// has. The list names it for a few more seconds at most.
+const ejectGone = 10 * gypsumrail.Second
+
+// gone ejects an upstream that is no longer at its address.
+func (u *upstream) gone(now gypsumrail.Millis) {
+	u.ejectedUntil = now + ejectGone
+	u.service.recount = true
+}
+
+// unreachable ejects an upstream at once: that no connection can be opened is
+// no matter of chance, and each further try costs a call the time of a handshake.
+func (u *upstream) unreachable(now gypsumrail.Millis) {
+	if !u.ejected(now) {
+		u.failures = failuresToEject - 1
+	}
+	u.fail(now)
+}
+
 // fail counts a failure. At the fifth in a row the upstream is ejected; after
 // that each further failure ejects it again, for twice as long, until an answer
 // arrives. Failures while it is ejected are of calls sent before and do not count.
--- a/route/learn.go
+++ b/route/learn.go
@@ -25,7 +25,7 @@
 		u.service.recount = true
 	}
 	if report != nil && report.Instance == name {
-		u.learn(now, report)
+		u.learn(now, report, r.settings.LeavingTime)
 	}
 	if latency >= 0 {
 		sample := max(float64(latency), latencyMin)
@@ -45,6 +45,10 @@
 	}
 	switch reason {
 	case gypsumrail.ReasonSilent, gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded:
+	case gypsumrail.ReasonMisdirected:
+		u.gone(now)
+	case gypsumrail.ReasonConnect:
+		u.unreachable(now)
 	default:
 		u.fail(now)
 	}
@@ -72,14 +76,18 @@
 // number that is not new is left out, whether it was overtaken by a later one or
 // the reporter stands still: what it said last then ages, and the own
 // observation remains.
-func (u *upstream) learn(now gypsumrail.Millis, report *gypsumrail.Report) {
+func (u *upstream) learn(now gypsumrail.Millis, report *gypsumrail.Report, leavingTime gypsumrail.Millis) {
 	if report.Incarnation < u.Instance.Incarnation {
 		return
 	}
 	if report.Incarnation > u.Instance.Incarnation {
 		u.restart(now, report.Incarnation)
 	}
-	if report.Leaving && !u.leaving {
+	switch {
+	case report.Leaving && leavingTime > 0:
+		u.ejectedUntil = now + leavingTime
+		u.service.recount = true
+	case report.Leaving && !u.leaving:
 		u.leaving = true // final for this incarnation
 		u.service.recount = true
 	}
--- a/route/list.go
+++ b/route/list.go
@@ -79,6 +79,9 @@
 			u = &upstream{Upstream: entry, salt: xxhash.Sum64String(entry.Instance.Name), service: s}
 			r.upstreams[entry.Instance.Name] = u
 			u.chill(r.started(s, now, entry.Instance.Incarnation, known))
+			if cold := entry.Instance.Cold; cold > 0 {
+				u.coldFrom, u.coldUntil = now, now+cold
+			}
 		} else if u.list == r.lists {
 			continue
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -35,6 +35,10 @@
 	// Tuning returns the values of a service from the records in force. It is
 	// called in SetUpstreams only. If it is nil or returns zeros, the defaults apply.
 	Tuning func(service string) Tuning
+	// LeavingTime is how long an upstream that reports that it leaves gets no calls.
+	// Zero means for good, until it reports a later incarnation; with a directory
+	// that tells when an upstream has left, only its node may be restarting.
+	LeavingTime gypsumrail.Millis
 }
 
 // Tuning are the values of one service. Zero values take the defaults.
