Link a target's requests to the call that it runs, and learn the services below a class

Cause: calls of targets counted as new requests, so a kept request lost its calls to newer ones, and no entry refused for a service further down. A request whose identity continues that of a call on the own target is now its child: it has the importance, the level and the allowance of the user request. Answers carry the services that a class was seen to use, so the entry refuses for all of them.

Ruled out: linking by the time left, which is ambiguous with hundreds of calls.

--- a/core/config.go
+++ b/core/config.go
@@ -13,6 +13,7 @@
 	}
 	n.records = event.Records
 	n.dropSplits()
+	n.dropUses()
 	n.setUpstreams()
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -78,6 +78,7 @@
 	listed     bool                // the list of instances was read
 	away       bool                // reads of the platform fail
 	splits     map[string]*split   // by class
+	uses       map[string]*uses    // by class
 	held       []gypsumrail.CallID // forwarded calls held while bootstrapping
 	awaiting   []gypsumrail.CallID // calls of the own target that wait for an upstream
 	draining   bool
@@ -103,6 +104,7 @@
 		tickets:  make(map[gypsumrail.CallID]ticket),
 		callers:  make(map[string]gypsumrail.Millis),
 		splits:   make(map[string]*split),
+		uses:     make(map[string]*uses),
 		clocks:   clocks{tick: noTick, began: noTick, upstreams: -upstreamsEvery},
 	}
 }
--- a/core/send.go
+++ b/core/send.go
@@ -51,6 +51,9 @@
 	parent := n.serves[arrival.Parent]
 	if arrival.Origin == gypsumrail.FromTarget && arrival.Parent != 0 && parent != nil {
 		n.inherit(s, parent, arrival)
+		if class, ok := n.class(arrival.Class); ok && isPlain(class) {
+			return n.describeChild(s, parent, class)
+		}
 		return gypsumrail.ReasonNone
 	}
 	class, ok := n.class(arrival.Class)
@@ -74,7 +77,7 @@
 		s.deadline = min(s.deadline, n.now+class.Timeout)
 	}
 	if s.origin == gypsumrail.FromCaller {
-		s.allowance = retry.AtEntry(class.Allowance, s.attempt)
+		s.allowance = allowanceOf(class, s.attempt)
 	}
 	return gypsumrail.ReasonNone
 }
@@ -149,6 +152,9 @@
 		if _, refused := n.parts.Shedder.Refuses(n.now, s.level, s.class.Uses); refused {
 			return gypsumrail.ReasonShed
 		}
+		if _, refused := n.parts.Shedder.Refuses(n.now, s.level, n.usesOf(s.class.Name)); refused {
+			return gypsumrail.ReasonShed
+		}
 	}
 	return gypsumrail.ReasonNone
 }
@@ -188,7 +194,7 @@
 		return
 	}
 	service := n.service(s.service)
-	portion := s.allowance.Grant(service != nil && len(service.Dependencies) > 0)
+	portion := s.allowance.Grant(service != nil && len(service.Dependencies) > 0 || len(n.usesOf(s.class.Name)) > 0)
 	attempt := gypsumrail.HomeAttempt(s.attempt*attemptsPerCaller + len(s.tries) + 1)
 	local := upstream.Name == n.self.Name || upstream.Address != "" && upstream.Address == n.self.Address
 	s.tries = append(s.tries, try{upstream: upstream, sent: n.now, portion: portion, open: true, local: local, attempt: attempt})
@@ -285,6 +291,7 @@
 func (n *Node) retryAfter(reason gypsumrail.Reason) gypsumrail.Millis {
 	switch reason {
 	case gypsumrail.ReasonOverload, gypsumrail.ReasonShed, gypsumrail.ReasonNoUpstream, gypsumrail.ReasonTargetBusy,
+		gypsumrail.ReasonMisdirected, gypsumrail.ReasonConnect, gypsumrail.ReasonTargetFailed,
 		gypsumrail.ReasonNoAllowance, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonDraining:
 		return retryAfterMin + gypsumrail.Millis(n.random.Uint64()%uint64(retryAfterSpread))
 	}
--- a/core/serve.go
+++ b/core/serve.go
@@ -231,7 +231,7 @@
 	n.count(outcome, reason)
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Refuse, Call: v.call, Outcome: outcome, Reason: reason, RetryAfter: n.retryAfter(reason),
-		Allowance: v.allowance.Left(), Report: n.ownReport(), Hints: n.allHints(),
+		Allowance: v.allowance.Left(), Report: n.ownReport(), Hints: n.allHints(), Uses: n.usesOf(v.class.Name),
 	}
 	if outcome == gypsumrail.Ran {
 		effect.Key = v.keyText
--- a/core/target.go
+++ b/core/target.go
@@ -28,6 +28,7 @@
 		}
 		n.emit(gypsumrail.Effect{
 			Kind: gypsumrail.Answer, Call: v.call, Allowance: left, Report: n.ownReport(), Hints: n.allHints(),
+			Uses: n.usesOf(v.class.Name),
 		})
 		return
 	}
--- a/core/tries.go
+++ b/core/tries.go
@@ -24,7 +24,7 @@
 	passes := result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone
 	t.open = passes
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
-	n.learn(t.upstream, s.service, result)
+	n.learn(t.upstream, s.service, s.class.Name, result)
 	switch {
 	case passes:
 		n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
@@ -146,6 +146,9 @@
 	if pinned && reason != gypsumrail.ReasonSilent && reason != gypsumrail.ReasonBroken {
 		return false
 	}
+	if reachedTarget(reason) && !mayUseAnother(s) {
+		return false
+	}
 	switch n.settings.Retry {
 	case RetryNone:
 		return false
@@ -221,7 +224,7 @@
 }
 
 // learn takes what an answer says of its upstream and of the services below it.
-func (n *Node) learn(upstream gypsumrail.Instance, service string, result *gypsumrail.Result) {
+func (n *Node) learn(upstream gypsumrail.Instance, service, class string, result *gypsumrail.Result) {
 	if report := result.Report; report != nil && report.Instance == upstream.Name {
 		n.parts.Shedder.Learn(n.now, service, upstream.Name, report.Threshold)
 		n.learnEpoch(report)
@@ -238,4 +241,5 @@
 	for _, hint := range result.Hints {
 		n.parts.Shedder.LearnHint(n.now, hint)
 	}
+	n.noteUse(class, result.Uses...)
 }
--- a/effect.go
+++ b/effect.go
@@ -48,6 +48,7 @@
 	Report      *Report      `json:",omitempty"`
 	Hints       []Hint       `json:",omitempty"`
 	Keys        []string     `json:",omitempty"`
+	Uses        []string     `json:",omitempty"` // Answer, Refuse to a peer: services that the class was seen to use
 	Exchange    *Exchange    `json:",omitempty"`
 	Value       ValueVersion `json:",omitzero"`
 	On          bool         `json:",omitempty"`
--- a/event.go
+++ b/event.go
@@ -85,12 +85,13 @@
 // Result is the end, or the head of the answer, of an attempt or of a run on the target.
 type Result struct {
 	Outcome       Outcome
-	Reason        Reason  `json:",omitempty"`
-	Status        int     `json:",omitempty"` // HTTP status
-	AllowanceLeft int     `json:",omitempty"`
-	RetryAfter    Millis  `json:",omitempty"`
-	Report        *Report `json:",omitempty"`
-	Hints         []Hint  `json:",omitempty"`
+	Reason        Reason   `json:",omitempty"`
+	Status        int      `json:",omitempty"` // HTTP status
+	AllowanceLeft int      `json:",omitempty"`
+	RetryAfter    Millis   `json:",omitempty"`
+	Report        *Report  `json:",omitempty"`
+	Hints         []Hint   `json:",omitempty"`
+	Uses          []string `json:",omitempty"` // services that calls of the class were seen to use below this one
 }
 
 // Exchange is the control message between two nodes.
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	id      gypsumrail.CallID
 	arrival gypsumrail.Arrival
 	began   time.Time
+	request string // identity of this request; that of the user request is in arrival
 	origin  string // service of the machine where the request began
 	expect  string // FromPeer: the instance that is meant
 	isHead  bool   // the method is HEAD, so that the answer has no body
@@ -94,6 +96,7 @@
 	r.calls[c.id] = c
 	conn := c.conn
 	r.rest(false)
+	r.link(c)
 	arrival := c.arrival
 	r.step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: c.id, Arrival: &arrival})
 	out := r.take()
@@ -101,6 +104,26 @@
 	write(out, conn)
 }
 
+// link recognizes an outgoing request of the own target. Clients and the target
+// use the same port and nothing states which call a request is made for, but
+// identities are hierarchical: the target's is that of the call that it runs,
+// then a dot and a part of its own. A request without such an identity counts as
+// a client's.
+func (r *Relay) link(c *call) {
+	if c.arrival.Origin != gypsumrail.FromCaller {
+		return
+	}
+	dot := strings.LastIndexByte(c.request, '.')
+	if dot < 0 {
+		return
+	}
+	if parent := r.running[c.request[:dot]]; parent != nil {
+		c.arrival.Origin, c.arrival.Parent = gypsumrail.FromTarget, parent.id
+		c.arrival.Request = parent.arrival.Request
+		c.arrival.Hop = parent.arrival.Hop + 1
+	}
+}
+
 // leave tells the reducer that the caller of a call has gone.
 func (r *Relay) leave(c *call) {
 	r.mu.Lock()
@@ -154,7 +177,7 @@
 	if from == nil {
 		return
 	}
-	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: from.status, AllowanceLeft: e.Allowance, Report: e.Report, Hints: e.Hints}
+	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: from.status, AllowanceLeft: e.Allowance, Report: e.Report, Hints: e.Hints, Uses: e.Uses}
 	rep := reply{head: from.head, body: from.body}
 	if c.arrival.Origin == gypsumrail.FromPeer {
 		rep.extra = appendAnswer(nil, &result, r.revision())
@@ -173,9 +196,9 @@
 	status := statusOf(e.Outcome, e.Reason)
 	result := gypsumrail.Result{
 		Outcome: e.Outcome, Reason: e.Reason, Status: status, AllowanceLeft: e.Allowance, Report: e.Report, Hints: e.Hints,
-		RetryAfter: e.RetryAfter,
+		RetryAfter: e.RetryAfter, Uses: e.Uses,
 	}
-	rep := refusal(r.settings.Headers.Request, c.arrival.Request, status, e.Reason, e.RetryAfter)
+	rep := refusal(r.settings.Headers.Request, c.request, status, e.Reason, e.RetryAfter)
 	if c.arrival.Origin == gypsumrail.FromPeer {
 		rep.extra = appendAnswer(nil, &result, r.revision())
 	} else {
@@ -228,7 +251,7 @@
 	if e.Outcome != gypsumrail.NotRun {
 		notice = NoticeRequestFailed
 	}
-	r.lines.Put(notice, c.arrival.Request, e.Reason, detail)
+	r.lines.Put(notice, c.request, e.Reason, detail)
 }
 
 func countOf(name string, n int) string { return name + "=" + strconv.Itoa(n) }
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -246,8 +246,9 @@
 	h := &request.Header
 	k := &call{
 		conn: c, began: began, isHead: h.IsHead(),
-		arrival: gypsumrail.Arrival{Origin: c.origin, Request: string(h.Peek(own.Request)), Attempt: 1},
+		request: string(h.Peek(own.Request)), arrival: gypsumrail.Arrival{Origin: c.origin, Attempt: 1},
 	}
+	k.arrival.Request = k.request
 	c.mu.Lock()
 	c.last = h.ConnectionClose()
 	c.mu.Unlock()
@@ -268,7 +269,7 @@
 func (c *conn) parsePeer(h *fasthttp.RequestHeader, k *call) bool {
 	revision, err := parseCall(string(h.Peek(headerCall)), k)
 	if err != nil {
-		c.reject(k.arrival.Request, http.StatusBadRequest, wire.ReasonMalformed, true)
+		c.reject(k.request, http.StatusBadRequest, wire.ReasonMalformed, true)
 		return false
 	}
 	if revision > c.relay.revision() {
--- a/internal/node/relay/head.go
+++ b/internal/node/relay/head.go
@@ -28,6 +28,7 @@
 const (
 	headerCall   = "Gypsumrail-Call"
 	headerAnswer = "Gypsumrail-Answer"
+	headerUses   = "Gypsumrail-Uses" // services that the class was seen to use, separated by commas
 )
 
 // errHeader means that a header between nodes is missing or malformed.
@@ -105,10 +106,10 @@
 
 // appendCall writes what the receiving node must know of a call. The fields are
 // separated by spaces and stand in this order: class, service, instance, origin,
-// remaining time, importance, allowance, invested time, hop, revision in force.
+// identity of the user request, remaining time, importance, allowance, invested time, hop, revision in force.
 func appendCall(dst []byte, c *call, e *gypsumrail.Effect, remaining gypsumrail.Millis, revision gypsumrail.Revision) []byte {
 	dst = append(dst, headerCall+": "...)
-	for _, name := range [...]string{c.arrival.Class, c.arrival.Service, e.To.Name, c.origin} {
+	for _, name := range [...]string{c.arrival.Class, c.arrival.Service, e.To.Name, c.origin, c.arrival.Request} {
 		dst = append(dst, url.QueryEscape(name)...)
 		dst = append(dst, ' ')
 	}
@@ -123,7 +124,7 @@
 }
 
 const (
-	callFields   = 10
+	callFields   = 11
 	answerFields = 14
 )
 
@@ -133,15 +134,15 @@
 	if err := cut(value, parts[:]); err != nil {
 		return 0, err
 	}
-	for i, to := range [...]*string{&c.arrival.Class, &c.arrival.Service, &c.expect, &c.origin} {
+	for i, to := range [...]*string{&c.arrival.Class, &c.arrival.Service, &c.expect, &c.origin, &c.arrival.Request} {
 		name, err := url.QueryUnescape(parts[i])
 		if err != nil {
 			return 0, fmt.Errorf("%w: %w", errHeader, err)
 		}
 		*to = name
 	}
-	var n [callFields - 4]int64
-	if err := numbers(parts[4:], n[:]); err != nil {
+	var n [callFields - 5]int64
+	if err := numbers(parts[5:], n[:]); err != nil {
 		return 0, err
 	}
 	a := &c.arrival
@@ -185,6 +186,9 @@
 	if len(result.Hints) > 0 {
 		dst = appendHeader(dst, wire.HeaderHints, wire.FormatHints(result.Hints))
 	}
+	if len(result.Uses) > 0 {
+		dst = appendHeader(dst, headerUses, strings.Join(result.Uses, ","))
+	}
 	return dst
 }
 
@@ -222,6 +226,10 @@
 		}
 		h.Del(wire.HeaderHints)
 	}
+	if uses := h.Peek(headerUses); len(uses) > 0 {
+		result.Uses = strings.Split(string(uses), ",")
+		h.Del(headerUses)
+	}
 	return result, gypsumrail.Revision(n[2]), nil
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -105,6 +105,7 @@
 	lastTick gypsumrail.Millis
 	lastCall gypsumrail.CallID
 	calls    map[gypsumrail.CallID]*call
+	running  map[string]*call // on the own target, by identity of the request
 	waiters  map[gypsumrail.CallID]chan gypsumrail.Exchange
 	out      []delivery
 	next     []gypsumrail.Event // that follow from the present one
@@ -126,6 +127,7 @@
 		values: feed.NewStore(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only
 		calls:   make(map[gypsumrail.CallID]*call),
+		running: make(map[string]*call),
 		waiters: make(map[gypsumrail.CallID]chan gypsumrail.Exchange),
 		ticker:  time.NewTicker(tickEvery),
 	}
--- /dev/null
+++ b/internal/node/relay/relay_test.go
@@ -0,0 +1,322 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/build"
+	"github.com/gypsumrail/gypsumrail/internal/node/relay"
+)
+
+var headers = relay.Headers{
+	Request: "X-Id", Remaining: "X-Left", Expect: "X-Expect", NotRun: "X-Not-Run", Origin: "X-Origin", Proof: "X-Proof",
+}
+
+// store is a platform's store in memory.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]gypsumrail.Item
+	revision uint64
+	changed  chan struct{}
+	down     bool
+}
+
+func newStore() *store {
+	return &store{items: make(map[string]gypsumrail.Item), revision: 1, changed: make(chan struct{})}
+}
+
+func (s *store) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = gypsumrail.Item{Key: key, Data: data, Revision: s.revision}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) read(prefix string, since uint64) (gypsumrail.Items, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := gypsumrail.Items{Revision: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && item.Revision > since {
+			items.List = append(items.List, item)
+		}
+	}
+	if s.down {
+		return gypsumrail.Items{}, nil, gypsumrail.ErrStoreUnavailable
+	}
+	return items, s.changed, nil
+}
+
+func (s *store) List(_ context.Context, prefix, _ string) (gypsumrail.Items, error) {
+	items, _, err := s.read(prefix, 0)
+	return items, err
+}
+
+func (s *store) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
+	items, changed, err := s.read(prefix, since)
+	if err != nil || len(items.List) > 0 {
+		return items, err
+	}
+	select {
+	case <-changed:
+		items, _, err = s.read(prefix, since)
+	case <-time.After(min(wait, 200*time.Millisecond)):
+	case <-ctx.Done():
+	}
+	return items, err
+}
+
+// catalog reads values that are our own types in JSON.
+type catalog struct{}
+
+func (catalog) RecordsKey() string      { return "records" }
+func (catalog) InstancesPrefix() string { return "instances/" }
+
+func (catalog) Records(data []byte) (*gypsumrail.Records, error) {
+	var r gypsumrail.Records
+	return &r, json.Unmarshal(data, &r)
+}
+
+func (catalog) Instance(item gypsumrail.Item) (gypsumrail.Instance, error) {
+	var i gypsumrail.Instance
+	return i, json.Unmarshal(item.Data, &i)
+}
+
+// target is a stand-in of a target that answers as a test says.
+type target struct {
+	listener net.Listener
+	answer   func(conn net.Conn, r *http.Request, body string)
+
+	mu   sync.Mutex
+	runs []*http.Request
+}
+
+func newTarget(t *testing.T, answer func(conn net.Conn, r *http.Request, body string)) *target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{listener: listener, answer: answer}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = listener.Close() })
+	return s
+}
+
+func (s *target) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.runs = append(s.runs, r)
+		s.mu.Unlock()
+		if r.URL.Path == "/close" {
+			return
+		}
+		s.answer(conn, r, string(body))
+	}
+}
+
+func (s *target) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs)
+}
+
+// whole writes a good answer that echoes the request.
+func whole(conn net.Conn, r *http.Request, body string) {
+	text := r.Method + " " + r.URL.RequestURI() + " " + body
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Proof: p\r\nX-Kept: yes\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(text), text)
+}
+
+// sidecar is a node under test.
+type sidecar struct {
+	ports relay.Addresses
+	node  *build.Relay
+	ended chan struct{}
+}
+
+var (
+	portMu   sync.Mutex
+	nextPort = 21000
+)
+
+// freePorts returns a port whose next one is free too.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	portMu.Lock()
+	defer portMu.Unlock()
+	for ; nextPort < 30000; nextPort += 2 {
+		first, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort)) //nolint:noctx // loopback
+		if err != nil {
+			continue
+		}
+		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort+1)) //nolint:noctx // loopback
+		_ = first.Close()
+		if err != nil {
+			continue
+		}
+		_ = second.Close()
+		nextPort += 2
+		return nextPort - 2
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func startNode(t *testing.T, name, service, targetAddress string, platform gypsumrail.Store) *sidecar {
+	t.Helper()
+	address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePorts(t)) }
+	s := &sidecar{
+		ports: relay.Addresses{Clients: address(), Peers: address(), Ready: address(), Admin: address()},
+		ended: make(chan struct{}),
+	}
+	node, err := build.NewRelay(t.Context(), build.RelaySettings{
+		Settings: build.Settings{
+			Self:   gypsumrail.Instance{Name: name, Service: service, Zone: "z", Address: s.ports.Peers},
+			Target: targetAddress, Log: io.Discard, LogLevel: log.InfoLevel,
+		},
+		Ports: s.ports, Headers: headers, Store: platform, Catalog: catalog{}, RetryShare: 0.1, RetryBurst: 10,
+		DrainMin: 100, DrainMax: 3000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(s.ended)
+		_ = node.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-s.ended
+	})
+	return s
+}
+
+func (s *sidecar) awaitReady(t *testing.T) {
+	t.Helper()
+	for range 500 {
+		r, err := http.Get("http://" + s.ports.Ready + "/ready") //nolint:noctx // loopback
+		if err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the node did not become ready")
+}
+
+func records(revision gypsumrail.Revision) *gypsumrail.Records {
+	return &gypsumrail.Records{
+		Revision: revision,
+		Services: map[string]*gypsumrail.Service{"front": {Name: "front"}, "back": {Name: "back"}},
+		Targets:  map[string]*gypsumrail.Target{},
+		Tenants:  map[string]*gypsumrail.Tenant{},
+		Classes: map[string]*gypsumrail.Class{
+			"read": {Name: "read", Service: "back", Repeatable: true, Allowance: 1, Deadline: 2000, Route: gypsumrail.Route{Host: "h", Prefix: "/read/"}},
+			"once": {Name: "once", Service: "back", Unkeyed: true, Allowance: 1, Deadline: 2000, Route: gypsumrail.Route{Host: "h", Prefix: "/once/"}},
+			"own":  {Name: "own", Service: "front", Unkeyed: true, Deadline: 2000, Route: gypsumrail.Route{Host: "h", Prefix: "/own/"}},
+		},
+		Limits: gypsumrail.Limits{HeaderBytes: 2000, BodyBytes: 100_000},
+	}
+}
+
+// deployment is a node of service front and one of service back for each target.
+func deployment(t *testing.T, answers ...func(net.Conn, *http.Request, string)) (*sidecar, []*target, *store) {
+	t.Helper()
+	platform := newStore()
+	platform.put("records", records(1))
+	front := newTarget(t, whole)
+	entry := startNode(t, "front", "front", front.listener.Addr().String(), platform)
+	platform.put("instances/f", gypsumrail.Instance{
+		Name: "f", Service: "front", Zone: "z", Address: entry.ports.Peers, State: gypsumrail.Live, Slots: 4,
+	})
+	targets := []*target{front}
+	var nodes []*sidecar
+	for i, answer := range answers {
+		back := newTarget(t, answer)
+		name := fmt.Sprintf("b%d", i)
+		node := startNode(t, name, "back", back.listener.Addr().String(), platform)
+		platform.put("instances/"+name, gypsumrail.Instance{
+			Name: name, Service: "back", Zone: "z", Address: node.ports.Peers, State: gypsumrail.Live, Slots: 4,
+		})
+		targets = append(targets, back)
+		nodes = append(nodes, node)
+	}
+	for _, node := range append(nodes, entry) {
+		node.awaitReady(t)
+	}
+	// The last instance may be listed a moment after the node is ready.
+	time.Sleep(300 * time.Millisecond)
+	return entry, targets, platform
+}
+
+func request(t *testing.T, s *sidecar, method, path, id, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.ports.Clients+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Id", id)
+	r.Header.Set("X-Left", "1500")
+	return r
+}
+
+func ask(t *testing.T, s *sidecar, method, path, id, body string) (*http.Response, string) {
+	t.Helper()
+	answer, err := http.DefaultClient.Do(request(t, s, method, path, id, body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer, string(text)
+}
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -30,11 +30,11 @@
 	message = append(message, '\r', '\n')
 	message = append(message, c.body...)
 	x := &exchange{
-		pool: r.peers, host: e.To.Address, message: message, request: c.arrival.Request, header: r.settings.Headers.Request,
+		pool: r.peers, host: e.To.Address, message: message, request: c.request, header: r.settings.Headers.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration() + graceTime),
 	}
 	if e.Attempt > 1 {
-		r.lines.Put(NoticeRequestResent, c.arrival.Request, gypsumrail.ReasonNone,
+		r.lines.Put(NoticeRequestResent, c.request, gypsumrail.ReasonNone,
 			"Class="+c.arrival.Class+" To="+e.To.Name+countOf(" Attempt", e.Attempt)+countOf(" Remaining", int(remaining)))
 	}
 	go r.send(c, a, e.Attempt, e.To, x)
@@ -76,6 +76,9 @@
 	a.answer = got
 	if a == c.run {
 		c.answered, c.run = got, nil
+		if r.running[c.request] == c {
+			delete(r.running, c.request)
+		}
 	}
 	own := c.conn
 	// A canceled attempt is over for the reducer, while the end of a run is always told.
@@ -113,6 +116,7 @@
 	a := &attempt{}
 	c.run = a
 	c.open++
+	r.running[c.request] = c
 	remaining := max(e.Deadline-now, 1)
 	expect := c.expect
 	if expect == "" {
@@ -128,7 +132,7 @@
 	message = append(message, '\r', '\n')
 	message = append(message, c.body...)
 	x := &exchange{
-		pool: r.targets, host: r.settings.Target, message: message, request: c.arrival.Request, header: own.Request,
+		pool: r.targets, host: r.settings.Target, message: message, request: c.request, header: own.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration() + graceTime),
 	}
 	go r.work(c, a, x)
@@ -150,7 +154,7 @@
 		r.targets.Sweep()
 	}
 	if result.Reason != gypsumrail.ReasonNone {
-		r.lines.Put(NoticeTargetFailed, c.arrival.Request, result.Reason,
+		r.lines.Put(NoticeTargetFailed, c.request, result.Reason,
 			"Class="+c.arrival.Class+" Outcome="+string(result.Outcome)+countOf(" Status", response.StatusCode())+errorOf(err))
 		r.finish(c, a, nil, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: c.id, Result: result})
 		return
