--- a/core/plain_test.go
+++ b/core/plain_test.go
@@ -1,11 +1,13 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+	"github.com/gypsumrail/gypsumrail/member"
 )
 
 // plainNode returns a node of service front with a class that needs no keys, and
@@ -129,3 +131,31 @@
 		t.Errorf("%d of %d calls went to the part with a tenth of the weight", refused, calls)
 	}
 }
+
+// Guards against a draining node that refuses callers who have no other node, and
+// against one that takes a call which the end of the drain would cut off.
+func TestServeDraining(t *testing.T) {
+	self := gypsumrail.Instance{Name: "front-1", Service: "front", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live, Slots: 9}
+	parts := setup.New(self, setup.Settings{})
+	parts.Directory = member.NewListed(self)
+	n := core.New(core.Settings{GossipEvery: -1, ServeDraining: true, DrainMin: 2500, DrainMax: 5500}, parts)
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: []gypsumrail.Instance{self}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}, Records: &gypsumrail.Records{
+		Revision: 1, Services: map[string]*gypsumrail.Service{"front": {Name: "front"}},
+		Classes: map[string]*gypsumrail.Class{"c": {Name: "c", Service: "front", Unkeyed: true, Timeout: 1500}},
+	}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.DrainAsked, At: 10_000})
+	for i, test := range []struct {
+		at     gypsumrail.Millis
+		served bool
+	}{{10_000, true}, {13_999, true}, {14_001, false}, {15_499, false}} {
+		effects := n.Step(&gypsumrail.Event{
+			Kind: gypsumrail.CallArrived, Call: gypsumrail.CallID(i + 1), At: test.at,
+			Arrival: &gypsumrail.Arrival{Origin: gypsumrail.FromCaller, Class: "c", Request: fmt.Sprint(i), Attempt: 1, Remaining: 5000},
+		})
+		e := effectOf(effects, gypsumrail.RunTarget, gypsumrail.Refuse)
+		if served := e.Kind == gypsumrail.RunTarget; served != test.served || !served && (e.Reason != gypsumrail.ReasonDraining || e.RetryAfter == 0) {
+			t.Errorf("%d ms after the drain began: %+v", test.at-10_000, e)
+		}
+	}
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -20,23 +20,23 @@
 )
 
 const (
-	// watchTime is how long one watch waits. A shorter one costs more calls, a
-	// longer one hides for longer that the store answers nothing.
-	watchTime = 8 * time.Second
-	// answerTime bounds what an answer takes beyond the waiting time. The store
-	// answers in milliseconds; a slow one takes some hundreds.
-	answerTime = 1500 * time.Millisecond
+	// What an answer may take beyond the waiting time doubles from the first to the
+	// last bound with each failure. The store answers in milliseconds; a watch that
+	// hears nothing is given up soon, and a slow store is still waited for.
+	answerFirst = 300 * time.Millisecond
+	answerLast  = 2400 * time.Millisecond
 	// Pauses after a fault double from the first to the last and are spread, so
 	// that the fleet does not come back to the store in step. The last one is part
 	// of the time in which a configuration must be in force after an outage.
-	pauseFirst = 50 * time.Millisecond
+	pauseFirst = 20 * time.Millisecond
 	pauseLast  = 500 * time.Millisecond
 	// itemsMax bounds the copy; the target size is 640 instances.
 	itemsMax = 16384
 )
 
 // Take gets the whole copy, ordered by key, whenever it changed, with the
-// revision up to which it is complete. It must not keep the slice.
+// revision of its last change, so that nodes with equal copies call them alike. It
+// must not keep the slice.
 type Take func(items []gypsumrail.Item, revision uint64)
 
 // Contact gets the error of the first failed read, and nil once reads succeed again.
@@ -46,23 +46,31 @@
 type Prefix struct {
 	store   gypsumrail.Store
 	prefix  string
+	wait    time.Duration
 	take    Take
 	contact Contact
 
 	items    map[string]gypsumrail.Item
-	revision uint64
+	revision uint64 // from where the next watch goes on
+	version  uint64 // of the copy: the revision of its last change
+	answer   time.Duration // what an answer may take now
 	listed   bool
 	lost     bool
 }
 
-// New returns a follower. Take and contact are called on the goroutine of Run.
-func New(store gypsumrail.Store, prefix string, take Take, contact Contact) *Prefix {
-	return &Prefix{store: store, prefix: prefix, take: take, contact: contact, items: make(map[string]gypsumrail.Item)}
+// New returns a follower. Each watch waits for a random time between half of wait
+// and wait. A shorter one costs more calls; a longer one hides for longer that a
+// watch hears nothing. The random part lets the watches of a fleet end one after
+// the other, so that some node soon notices what all of them missed. Take and
+// contact are called on the goroutine of Run.
+func New(store gypsumrail.Store, prefix string, wait time.Duration, take Take, contact Contact) *Prefix {
+	return &Prefix{store: store, prefix: prefix, wait: wait, take: take, contact: contact, items: make(map[string]gypsumrail.Item)}
 }
 
 // Run follows the prefix until ctx ends.
 func (p *Prefix) Run(ctx context.Context) {
 	pause := pauseFirst
+	p.answer = answerFirst
 	for ctx.Err() == nil {
 		err := p.next(ctx)
 		switch {
@@ -70,11 +78,13 @@
 			return
 		case err == nil:
 			pause = pauseFirst
+			p.answer = answerFirst
 			p.report(nil)
 		case errors.Is(err, gypsumrail.ErrHistoryGone):
 			p.listed = false
 		default:
 			p.report(err)
+			p.answer = min(2*p.answer, answerLast)
 			rest(ctx, pause)
 			pause = min(2*pause, pauseLast)
 		}
@@ -94,11 +104,11 @@
 	if !p.listed {
 		return p.list(ctx)
 	}
-	wait := watchTime
+	wait := p.wait/2 + rand.N(p.wait/2+1) //nolint:gosec // spreads load, guards nothing
 	if p.lost {
 		wait = 0 // a waiting watch would not tell that the store is back
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, wait+p.answer)
 	defer cancel()
 	changes, err := p.store.Changes(ctx, p.prefix, p.revision, wait)
 	if err != nil {
@@ -110,8 +120,14 @@
 	changed := false
 	for i := range changes.List {
 		changed = p.apply(&changes.List[i]) || changed
+		p.version = max(p.version, changes.List[i].Revision)
+	}
+	// An answer without changes does not move the revision: a watch that heard
+	// nothing would step over what it missed. The history then tells it later, or
+	// is gone, which leads to a new listing.
+	if len(changes.List) > 0 {
+		p.revision = max(p.revision, changes.Revision)
 	}
-	p.revision = max(p.revision, changes.Revision)
 	if changed {
 		p.hand()
 	}
@@ -142,13 +158,21 @@
 		after = page.List[len(page.List)-1].Key
 	}
 	p.report(nil)
+	for key := range p.items {
+		if _, ok := items[key]; !ok {
+			p.version = revision // the listing does not tell when an item was removed
+		}
+	}
+	for _, item := range items {
+		p.version = max(p.version, item.Revision)
+	}
 	p.items, p.revision, p.listed = items, revision, true
 	p.hand()
 	return nil
 }
 
 func (p *Prefix) page(ctx context.Context, after string) (gypsumrail.Items, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	ctx, cancel := context.WithTimeout(ctx, p.answer)
 	defer cancel()
 	return p.store.List(ctx, p.prefix, after) //nolint:wrapcheck // as in next
 }
@@ -176,7 +200,7 @@
 		items = append(items, item)
 	}
 	slices.SortFunc(items, func(a, b gypsumrail.Item) int { return cmp.Compare(a.Key, b.Key) })
-	p.take(items, p.revision)
+	p.take(items, p.version)
 }
 
 func rest(ctx context.Context, pause time.Duration) {
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -180,7 +180,7 @@
 	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: from.status, AllowanceLeft: e.Allowance, Report: e.Report, Hints: e.Hints, Uses: e.Uses}
 	rep := reply{head: from.head, body: from.body}
 	if c.arrival.Origin == gypsumrail.FromPeer {
-		rep.extra = appendAnswer(nil, &result, r.revision())
+		rep.extra = appendAnswer(nil, &result, r.stamp())
 	} else {
 		r.next = append(r.next, gypsumrail.Event{Kind: gypsumrail.AnswerDone, Call: c.id, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
 	}
@@ -200,7 +200,7 @@
 	}
 	rep := refusal(r.settings.Headers.Request, c.request, status, e.Reason, e.RetryAfter)
 	if c.arrival.Origin == gypsumrail.FromPeer {
-		rep.extra = appendAnswer(nil, &result, r.revision())
+		rep.extra = appendAnswer(nil, &result, r.stamp())
 	} else {
 		r.logRefusal(c, e, status)
 	}
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -267,14 +267,12 @@
 }
 
 func (c *conn) parsePeer(h *fasthttp.RequestHeader, k *call) bool {
-	revision, err := parseCall(string(h.Peek(headerCall)), k)
+	theirs, err := parseCall(string(h.Peek(headerCall)), k)
 	if err != nil {
 		c.reject(k.request, http.StatusBadRequest, wire.ReasonMalformed, true)
 		return false
 	}
-	if revision > c.relay.revision() {
-		c.relay.behind(c.net.RemoteAddr(), revision)
-	}
+	c.relay.learnStamp(theirs, c.relay.peerAddress(c.net.RemoteAddr()))
 	return true
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -97,6 +97,7 @@
 	records atomic.Pointer[gypsumrail.Records]
 	listed  atomic.Bool
 	leaving atomic.Bool
+	behind  atomic.Bool // a stamp of a peer told of newer values, which are about to be fetched
 	conns   connSet
 	applied sync.Mutex // orders the values that are offered to the reducer
 
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -26,7 +26,7 @@
 	remaining := max(e.Deadline-now, 1)
 	message := make([]byte, 0, len(c.head)+len(c.body)+256)
 	message = append(message, c.head...)
-	message = appendCall(message, c, e, remaining, r.revision())
+	message = appendCall(message, c, e, remaining, r.stamp())
 	message = append(message, '\r', '\n')
 	message = append(message, c.body...)
 	x := &exchange{
@@ -49,12 +49,10 @@
 	err := x.do(a, response)
 	if err == nil {
 		var result gypsumrail.Result
-		var revision gypsumrail.Revision
-		if result, revision, err = parseAnswer(&response.Header); err == nil {
+		var theirs stamp
+		if result, theirs, err = parseAnswer(&response.Header); err == nil {
 			event.Kind, event.Result = gypsumrail.AttemptAnswered, &result
-			if revision > r.revision() {
-				r.pullFrom(to.Address, revision)
-			}
+			r.learnStamp(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
 				got = keep(response, c.isHead)
 			}
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/feed"
@@ -15,11 +16,19 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
+// The longest waits of watches. They are part of the time in which a change is
+// in force that the watches of most nodes missed; see package follow. A change of
+// the records must be in force, and a leaving target without new calls, within 2 s.
+const (
+	recordsWait   = 2 * time.Second
+	instancesWait = 2 * time.Second
+)
+
 // follow watches the records and the instances on the platform.
 func (r *Relay) follow(work *sync.WaitGroup) {
 	catalog := r.parts.Catalog
-	records := follow.New(r.parts.Store, catalog.RecordsKey(), r.takeRecords, r.contact(gypsumrail.ValueRecords))
-	instances := follow.New(r.parts.Store, catalog.InstancesPrefix(), r.takeInstances(), r.contact(gypsumrail.ValueInstances))
+	records := follow.New(r.parts.Store, catalog.RecordsKey(), recordsWait, r.takeRecords, r.contact(gypsumrail.ValueRecords))
+	instances := follow.New(r.parts.Store, catalog.InstancesPrefix(), instancesWait, r.takeInstances(), r.contact(gypsumrail.ValueInstances))
 	work.Go(func() { records.Run(r.base) })
 	work.Go(func() { instances.Run(r.base) })
 }
@@ -143,25 +152,50 @@
 	return netip.AddrPortFrom(address.Addr(), address.Port()+1).String()
 }
 
-// behind asks a node that sent a call under newer records for them.
-func (r *Relay) behind(remote net.Addr, revision gypsumrail.Revision) {
-	host, _, err := net.SplitHostPort(remote.String())
-	if err != nil {
+// stamp is what calls and answers tell of the values in force.
+type stamp struct {
+	records, instances gypsumrail.Revision
+}
+
+func (r *Relay) stamp() stamp {
+	return stamp{r.values.Revision(gypsumrail.ValueRecords), r.values.Revision(gypsumrail.ValueInstances)}
+}
+
+// stampPatience is how long a node waits for the platform to tell what a stamp
+// told already: usually the watches of all nodes end within milliseconds.
+const stampPatience = 100 * time.Millisecond
+
+// learnStamp compares the stamp of another node with the values in force here.
+func (r *Relay) learnStamp(theirs stamp, address string) {
+	ours := r.stamp()
+	if theirs.records <= ours.records && theirs.instances <= ours.instances || !r.behind.CompareAndSwap(false, true) {
 		return
 	}
-	_, port, _ := strings.Cut(r.settings.Self.Address, ":")
-	r.pullFrom(net.JoinHostPort(host, port), revision)
+	time.AfterFunc(stampPatience, func() {
+		r.behind.Store(false)
+		r.post(&gypsumrail.Event{
+			Kind: gypsumrail.Exchanged, Exchange: &gypsumrail.Exchange{
+				Answer: true,
+				From: gypsumrail.Instance{
+					Name: address, Service: r.settings.Self.Service, Zone: r.settings.Self.Zone, Address: address, State: gypsumrail.Live,
+				},
+				Digest: gypsumrail.Digest{Values: []gypsumrail.ValueVersion{
+					{Name: gypsumrail.ValueRecords, Revision: theirs.records}, {Name: gypsumrail.ValueInstances, Revision: theirs.instances},
+				}},
+			},
+		})
+	})
 }
 
-// pullFrom fetches newer records of which an answer or a call told.
-func (r *Relay) pullFrom(address string, revision gypsumrail.Revision) {
-	r.post(&gypsumrail.Event{
-		Kind: gypsumrail.Exchanged, Exchange: &gypsumrail.Exchange{
-			Answer: true,
-			From:   gypsumrail.Instance{Name: address, Service: r.settings.Self.Service, Zone: r.settings.Self.Zone, Address: address, State: gypsumrail.Live},
-			Digest: gypsumrail.Digest{Values: []gypsumrail.ValueVersion{{Name: gypsumrail.ValueRecords, Revision: revision}}},
-		},
-	})
+// peerAddress returns the peers port of the node at the other end of a connection.
+// The number is the same on all machines.
+func (r *Relay) peerAddress(remote net.Addr) string {
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return ""
+	}
+	_, port, _ := strings.Cut(r.settings.Self.Address, ":")
+	return net.JoinHostPort(host, port)
 }
 
 // pull fetches a value from a peer.
