--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -51,8 +51,8 @@
 	contact Contact
 
 	items    map[string]gypsumrail.Item
-	revision uint64 // from where the next watch goes on
-	version  uint64 // of the copy: the revision of its last change
+	revision uint64        // from where the next watch goes on
+	version  uint64        // of the copy: the revision of its last change
 	answer   time.Duration // what an answer may take now
 	listed   bool
 	lost     bool
