--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -24,6 +24,7 @@
 	isHead  bool   // the method is HEAD, so that the answer has no body
 	head    []byte // request line and end-to-end headers, without the empty line
 	body    []byte
+	held    int64 // what the body counts towards heldMax
 
 	conn     *conn // of the caller; nil once it was answered or has left
 	attempts []*attempt
@@ -141,8 +142,9 @@
 
 // forget drops a call that nobody waits for and that uses no connection.
 func (r *Relay) forget(c *call) {
-	if c.conn == nil && c.open == 0 {
+	if c.conn == nil && c.open == 0 && r.calls[c.id] == c {
 		delete(r.calls, c.id)
+		r.held.Add(-c.held)
 	}
 }
 
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -29,9 +29,12 @@
 	bodyTime = 10 * time.Second
 	// writeTime bounds the writing of one answer to a client that reads slowly.
 	writeTime = 30 * time.Second
-	// lingerTime is how long a closing connection waits for its client to close,
-	// because closing it with unread bytes would destroy the answer on its way.
+	// lingerTime is how long a closing connection waits for its client to close.
 	lingerTime = time.Second
+	// Bodies above largeBody count towards heldMax, which bounds the memory that
+	// clients can fill: an instance has some hundred megabytes.
+	largeBody = 64 << 10
+	heldMax   = 64 << 20
 	// connsMax bounds the open connections of clients and nodes, below the
 	// descriptors of a small instance.
 	connsMax = 3000
@@ -92,6 +95,7 @@
 		return
 	}
 	defer r.conns.drop(c)
+	defer c.linger()
 	c.reader = bufio.NewReaderSize(nc, min(max(r.limits(origin).HeaderBytes, 1<<10), readerMax))
 	c.patience(r.limits(origin).IdleTime)
 	var request fasthttp.Request
@@ -134,6 +138,15 @@
 	return !c.isClosed()
 }
 
+// linger reads what a client still sends after the last answer, because closing
+// with unread bytes would destroy the answer on its way.
+func (c *conn) linger() {
+	if c.isClosed() {
+		c.patience(gypsumrail.MillisOf(lingerTime))
+		_, _ = io.Copy(io.Discard, c.net)
+	}
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,15 +208,35 @@
 			return nil, false
 		}
 	}
-	if request.Header.ContentLength() > limits.BodyBytes {
+	size := request.Header.ContentLength()
+	if size > limits.BodyBytes {
 		c.reject("", http.StatusRequestEntityTooLarge, wire.ReasonBodyTooLong, true)
 		return nil, false
 	}
+	if size < 0 {
+		size = largeBody // in chunks; the size is not known yet
+	}
+	held := int64(0)
+	if size > largeBody {
+		held = int64(size)
+	}
+	if c.relay.held.Add(held) > heldMax {
+		c.relay.held.Add(-held)
+		c.reject(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy, true)
+		return nil, false
+	}
 	if err := request.ContinueReadBody(c.reader, limits.BodyBytes, false); err != nil {
+		c.relay.held.Add(-held)
 		return nil, c.unreadable(err)
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
-	return c.parse(request, began), true
+	k := c.parse(request, began)
+	if k == nil {
+		c.relay.held.Add(-held)
+		return nil, true
+	}
+	k.held = held
+	return k, true
 }
 
 // unreadable answers what cannot be read as a request, and ends the connection.
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -48,7 +48,7 @@
 	request  string // identity that the answer must echo
 	header   string // name of the header with the identity
 	isHead   bool
-	deadline time.Time
+	deadline time.Time // until which the request may be sent; its answer is read a little longer
 }
 
 // do sends the request once and reads its answer into response. An error that
@@ -76,6 +76,11 @@
 // open gets a connection and writes the request to it.
 func (x *exchange) open(a *attempt) (*pool.Conn, error) {
 	for {
+		if time.Now().After(x.deadline) {
+			// The process was paused, or waited too long for a connection.
+			a.release()
+			return nil, errNothingSent
+		}
 		conn, err := x.pool.Get(x.host)
 		if err != nil {
 			return nil, err //nolint:wrapcheck // the pool's error says what failed
@@ -85,7 +90,7 @@
 			_ = conn.Close()
 			return nil, errNothingSent
 		}
-		_ = conn.SetDeadline(x.deadline)
+		_ = conn.SetDeadline(x.deadline.Add(graceTime))
 		sent, err := x.write(conn)
 		if err == nil || sent > 0 {
 			// A write that stopped midway may be followed by an answer all the same.
--- /dev/null
+++ b/internal/node/relay/late_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/gypsumrail/gypsumrail/internal/node/pool"
+)
+
+// Guards against a request that is sent after its time is over, because the
+// process was paused between the decision and the send.
+func TestLateSend(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	got := make(chan int, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		n, _ := conn.Read(make([]byte, 10))
+		got <- n
+	}()
+	x := &exchange{
+		pool: pool.New(time.Second), host: listener.Addr().String(), message: []byte("GET / HTTP/1.1\r\n\r\n"), request: "a", header: "X-Id",
+		deadline: time.Now().Add(-time.Millisecond),
+	}
+	if err := x.do(&attempt{}, new(fasthttp.Response)); !errors.Is(err, errNothingSent) {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case n := <-got:
+		t.Errorf("%d bytes were sent", n)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
--- a/internal/node/relay/path_test.go
+++ b/internal/node/relay/path_test.go
@@ -291,3 +291,38 @@
 		t.Errorf("after older records: status %d", answer.StatusCode)
 	}
 }
+
+// Guards against clients that fill the memory of a node with large bodies, and
+// against a bound that is not given back.
+func TestLargeBodies(t *testing.T) {
+	entry, targets, platform := deployment(t, whole)
+	larger := records(2)
+	larger.Limits.BodyBytes = 64 << 20
+	platform.put("records", larger)
+	time.Sleep(300 * time.Millisecond)
+	var open []net.Conn
+	for i := range 3 {
+		conn, err := net.Dial("tcp", entry.ports.Clients) //nolint:noctx // loopback
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\nContent-Length: %d\r\n\r\nbegin", i, 30<<20)
+		open = append(open, conn)
+		time.Sleep(100 * time.Millisecond)
+	}
+	line := make([]byte, 12)
+	_ = open[2].SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadFull(open[2], line); err != nil || string(line[9:]) != "503" {
+		t.Errorf("the third body of 30 MB: %v, %q", err, line)
+	}
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if answer, _ := ask(t, entry, "POST", "/once/2", "b", strings.Repeat("x", 1<<20)); answer.StatusCode != http.StatusOK {
+		t.Errorf("after their end: status %d", answer.StatusCode)
+	}
+	if n := targets[1].count(); n != 1 {
+		t.Errorf("%d requests reached the target", n)
+	}
+}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -97,7 +97,8 @@
 	records atomic.Pointer[gypsumrail.Records]
 	listed  atomic.Bool
 	leaving atomic.Bool
-	behind  atomic.Bool // a stamp of a peer told of newer values, which are about to be fetched
+	held    atomic.Int64 // bytes of large bodies
+	behind  atomic.Bool  // a stamp of a peer told of newer values, which are about to be fetched
 	conns   connSet
 	applied sync.Mutex // orders the values that are offered to the reducer
 
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -31,7 +31,7 @@
 	message = append(message, c.body...)
 	x := &exchange{
 		pool: r.peers, host: e.To.Address, message: message, request: c.request, header: r.settings.Headers.Request,
-		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration() + graceTime),
+		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
 	}
 	if e.Attempt > 1 {
 		r.lines.Put(NoticeRequestResent, c.request, gypsumrail.ReasonNone,
@@ -131,7 +131,7 @@
 	message = append(message, c.body...)
 	x := &exchange{
 		pool: r.targets, host: r.settings.Target, message: message, request: c.request, header: own.Request,
-		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration() + graceTime),
+		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
 	}
 	go r.work(c, a, x)
 }
