--- a/internal/cmds/verbs/pages_test.go
+++ b/internal/cmds/verbs/pages_test.go
@@ -11,7 +11,7 @@
 // Guards against pages that show options that a command does not have. A block
 // of a page that begins with a command for help is that command's real output.
 func TestPages(t *testing.T) {
-	for _, page := range []string{"../../../README.md", "../../../docs/operators.md"} {
+	for _, page := range []string{"../../../README.md", "../../../docs/OPERATIONS.md"} {
 		data, err := os.ReadFile(page)
 		if err != nil {
 			t.Fatal(err)
