--- a/internal/node/notice/logger.go
+++ b/internal/node/notice/logger.go
@@ -26,6 +26,15 @@
 	perSecond = 1
 )
 
+// Rate limit of the numbers about single requests, which are found by the
+// identity of the request. Twenty lines a second cost a thousandth of a core.
+const (
+	requestBurst     = 50
+	requestPerSecond = 20
+	requestFirst     = gypsumrail.Notice(2401)
+	requestLast      = gypsumrail.Notice(2405)
+)
+
 // Settings of a log.
 type Settings struct {
 	Node      string        // name of the instance, on every line
@@ -60,13 +69,18 @@
 		limits: make(map[gypsumrail.Notice]*limit, len(entries)+1),
 	}
 	for _, e := range entries {
-		l.limits[e.Number] = newLimit()
+		l.limits[e.Number] = newLimit(e.Number)
 	}
-	l.limits[0] = newLimit()
+	l.limits[0] = newLimit(0)
 	return l
 }
 
-func newLimit() *limit { return &limit{tokens: rate.NewLimiter(perSecond, burst)} }
+func newLimit(number gypsumrail.Notice) *limit {
+	if number >= requestFirst && number <= requestLast {
+		return &limit{tokens: rate.NewLimiter(requestPerSecond, requestBurst)}
+	}
+	return &limit{tokens: rate.NewLimiter(perSecond, burst)}
+}
 
 // Log writes an event about a subject, unless its number is over its rate; the
 // next line of the number then tells how many were left out. The reason and the
