--- /dev/null
+++ b/core/chain_test.go
@@ -0,0 +1,102 @@
+package core_test
+
+import (
+	"testing"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+	"github.com/gypsumrail/gypsumrail/member"
+	"github.com/gypsumrail/gypsumrail/shed"
+)
+
+// chainNode returns the node beside a target of service mid that runs call 1 of
+// class top, an important request, and makes calls of class low to service deep.
+func chainNode(t *testing.T) *core.Node {
+	t.Helper()
+	self := gypsumrail.Instance{Name: "mid-1", Service: "mid", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live, Slots: 9}
+	parts := setup.New(self, setup.Settings{})
+	parts.Directory = member.NewListed(self)
+	parts.Shedder = shed.NewBacklog(shed.Settings{})
+	n := core.New(core.Settings{GossipEvery: -1, FreeRefusals: true, KeepChildren: true}, parts)
+	deep := gypsumrail.Instance{Name: "deep-1", Service: "deep", Zone: "z", Address: "127.0.0.1:2", State: gypsumrail.Live, Slots: 9}
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: []gypsumrail.Instance{deep, self}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}, Records: &gypsumrail.Records{
+		Revision: 1, Services: map[string]*gypsumrail.Service{"mid": {Name: "mid"}, "deep": {Name: "deep"}},
+		Classes: map[string]*gypsumrail.Class{
+			"top": {Name: "top", Service: "mid", Uses: []string{"mid"}, Importance: 9, Repeatable: true, Deadline: 5000, Route: gypsumrail.Route{Host: "h", Prefix: "/top/"}},
+			"low": {Name: "low", Service: "deep", Uses: []string{"deep"}, Importance: 3, Repeatable: true, Deadline: 5000, Timeout: 700, AttemptsMax: 2, Route: gypsumrail.Route{Host: "h", Prefix: "/low/"}},
+		},
+	}})
+	e := effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: 1, At: 10, Arrival: &gypsumrail.Arrival{
+		Origin: gypsumrail.FromPeer, Service: "mid", Class: "top", Request: "r", Importance: 9, Remaining: 3000, Allowance: 2, Attempt: 1,
+	}}), gypsumrail.RunTarget)
+	if e.Kind != gypsumrail.RunTarget {
+		t.Fatal("the parent does not run")
+	}
+	return n
+}
+
+func child(n *core.Node, call gypsumrail.CallID, at gypsumrail.Millis) gypsumrail.Effect {
+	return effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: call, At: at, Arrival: &gypsumrail.Arrival{
+		Origin: gypsumrail.FromTarget, Class: "low", Parent: 1, Request: "r", Attempt: 1, Remaining: 2900,
+	}}), gypsumrail.Forward, gypsumrail.Refuse)
+}
+
+// Guards against calls that a target makes for an important request and that are
+// as unimportant as their own class, or are kept waiting beyond its time limit,
+// and against a service that refuses what it has already worked for.
+func TestChildOfPlainRequest(t *testing.T) {
+	n := chainNode(t)
+	first := child(n, 2, 100)
+	if first.Kind != gypsumrail.Forward || first.Importance != 9 || first.Deadline != 800 || first.Invested != 90 || first.Kept {
+		t.Fatalf("the first call is %+v", first)
+	}
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.AttemptAnswered, Call: 2, Attempt: 1, At: 200, Result: &gypsumrail.Result{
+		Outcome: gypsumrail.Ran, Status: 200, Report: &gypsumrail.Report{Instance: "deep-1", Sequence: 1, Limit: 9, Threshold: gypsumrail.LevelMax - 1},
+	}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.AnswerDone, Call: 2, At: 200, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
+	second := child(n, 3, 210)
+	if second.Kind != gypsumrail.Forward || !second.Kept {
+		t.Errorf("the second call to a service that refuses its level is %+v", second)
+	}
+}
+
+// Guards against an entry that admits requests which a service far below refuses,
+// because the records do not name it among those that the class uses.
+func TestUsesAreLearned(t *testing.T) {
+	n := chainNode(t)
+	child(n, 2, 100)
+	answer := effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, Call: 1, At: 300, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran, Status: 200}}), gypsumrail.Answer)
+	if len(answer.Uses) != 1 || answer.Uses[0] != "deep" {
+		t.Fatalf("the answer tells of %v", answer.Uses)
+	}
+	entry := plainNode(t, gypsumrail.Class{Service: "back", Repeatable: true, Route: gypsumrail.Route{Host: "h", Prefix: "/"}})
+	arrive(entry, 1, 10)
+	entry.Step(&gypsumrail.Event{Kind: gypsumrail.AttemptAnswered, Call: 1, Attempt: 1, At: 50, Result: &gypsumrail.Result{
+		Outcome: gypsumrail.Ran, Status: 200, Uses: answer.Uses, Hints: []gypsumrail.Hint{{Service: "deep", Threshold: gypsumrail.LevelMax - 1}},
+	}})
+	entry.Step(&gypsumrail.Event{Kind: gypsumrail.AnswerDone, Call: 1, At: 50, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
+	if e := arrive(entry, 2, 60); e.Kind != gypsumrail.Refuse || e.Reason != gypsumrail.ReasonShed || e.Outcome != gypsumrail.NotRun || e.RetryAfter == 0 {
+		t.Errorf("got %+v", e)
+	}
+	if e := arrive(entry, 3, 60+31*gypsumrail.Second); e.Kind != gypsumrail.Forward {
+		t.Errorf("long after: %+v", e)
+	}
+}
+
+// Guards against a class that allows two targets and whose call reaches a third.
+func TestAttemptsMax(t *testing.T) {
+	n := plainNode(t, gypsumrail.Class{Service: "back", Repeatable: true, AttemptsMax: 2, Route: gypsumrail.Route{Host: "h", Prefix: "/"}})
+	e := arrive(n, 1, 10)
+	sends := 0
+	for attempt := 1; e.Kind == gypsumrail.Forward; attempt++ {
+		sends++
+		e = effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.AttemptFailed, Call: 1, Attempt: attempt, At: 20, Result: &gypsumrail.Result{
+			Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonBroken,
+		}}), gypsumrail.Forward, gypsumrail.Refuse)
+	}
+	if sends != 2 {
+		t.Errorf("%d targets were tried", sends)
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -167,7 +167,11 @@
 		q.warm = true // only cold upstreams are left
 		return s.best(q, random)
 	}
-	if own == nil || other != nil && ownDelay > otherDelay*s.zoneFactor+s.zoneDelay {
+	factor := s.zoneFactor
+	if own != nil && other != nil && own.isFull(q.now) && !other.isFull(q.now) {
+		factor = 1 // waiting for a slot costs more than the way to a free one
+	}
+	if own == nil || other != nil && ownDelay > otherDelay*factor+s.zoneDelay {
 		return other
 	}
 	return own
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -107,6 +107,11 @@
 	return (float64(u.outstanding) + others + 1) / (limit * u.share(now)) * u.latencyAt(now)
 }
 
+// isFull tells whether one more call would wait for a slot.
+func (u *upstream) isFull(now gypsumrail.Millis) bool {
+	return float64(u.outstanding)+u.reportedOthers(now) >= float64(u.limitAt(now))
+}
+
 // reportedOthers returns the calls of other senders, aged.
 func (u *upstream) reportedOthers(now gypsumrail.Millis) float64 {
 	age := now - u.reportedAt
