--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -54,7 +54,7 @@
 			event.Kind, event.Result = gypsumrail.AttemptAnswered, &result
 			r.learnStamp(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
-				got = keep(response, c.isHead)
+				got = copyAnswer(response, c.isHead)
 			}
 		}
 	}
@@ -94,8 +94,8 @@
 	write(out, own)
 }
 
-// keep copies an answer out of a pooled response.
-func keep(response *fasthttp.Response, isHead bool) *answer {
+// copyAnswer copies an answer out of a pooled response.
+func copyAnswer(response *fasthttp.Response, isHead bool) *answer {
 	body := append([]byte(nil), response.Body()...)
 	return &answer{status: response.StatusCode(), head: answerHead(&response.Header, len(body), isHead), body: body}
 }
@@ -157,7 +157,7 @@
 		r.finish(c, a, nil, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: c.id, Result: result})
 		return
 	}
-	r.finish(c, a, keep(response, c.isHead),
+	r.finish(c, a, copyAnswer(response, c.isHead),
 		&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, Call: c.id, Result: result},
 		&gypsumrail.Event{Kind: gypsumrail.TargetDone, Call: c.id, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
 }
