Export the index of routes, and pass over the known red test under load

The unexported index in Records made cmp.Diff panic in record TestSchemaVersionsSideBySide; plain data has exported fields. trial TestOverloadFewSlots was red in two of two runs beside other load, the first before any change of logic; KNOWN-RED.txt named it, but the test did not look there.

--- a/internal/lab/trial/promises_test.go
+++ b/internal/lab/trial/promises_test.go
@@ -59,6 +59,7 @@
 // Guards the same on targets with so few slots that one waiting call already
 // waits longer than the queue delay above which the threshold rises.
 func TestOverloadFewSlots(t *testing.T) {
+	knownRed(t)
 	overload(t, Settings{Zones: []string{"a", "b"}, Slots: 4, ServiceTime: 10 * time.Millisecond, AnswerBytes: 200})
 }
 
--- a/match.go
+++ b/match.go
@@ -6,7 +6,7 @@
 // one with the longest prefix that begins the path. The query of the path does
 // not count.
 func (r *Records) Match(host, path string) (*Class, bool) {
-	prefixes := r.routes[host]
+	prefixes := r.Routes[host]
 	if prefixes == nil {
 		return nil, false
 	}
@@ -24,15 +24,15 @@
 
 // IndexRoutes prepares Match. It is called once, before the records are used.
 func (r *Records) IndexRoutes() {
-	r.routes = make(map[string]map[string]*Class)
+	r.Routes = make(map[string]map[string]*Class)
 	for _, class := range r.Classes {
 		if class.Route.Host == "" {
 			continue
 		}
-		prefixes := r.routes[class.Route.Host]
+		prefixes := r.Routes[class.Route.Host]
 		if prefixes == nil {
 			prefixes = make(map[string]*Class)
-			r.routes[class.Route.Host] = prefixes
+			r.Routes[class.Route.Host] = prefixes
 		}
 		prefixes[class.Route.Prefix] = class
 	}
--- a/records.go
+++ b/records.go
@@ -9,9 +9,8 @@
 	Targets  map[string]*Target
 	Classes  map[string]*Class
 	Tenants  map[string]*Tenant
-	Limits   Limits // of what a plain client may send; zero fields take the defaults
-
-	routes map[string]map[string]*Class // by host and prefix
+	Limits   Limits                       // of what a plain client may send; zero fields take the defaults
+	Routes   map[string]map[string]*Class `json:"-"` // by host and prefix, made by IndexRoutes
 }
 
 // Limits bounds what a client may send and how long it may take.
