Drop an entry that vanishes after the platform's return at once

Only what is missing within half a second of the return is kept now; the end of the wait is seen with each tick. TestListedLeavesAfterOutage failed before.

--- a/core/ticks.go
+++ b/core/ticks.go
@@ -31,6 +31,7 @@
 	}
 	n.clocks.tick = n.now
 	n.expireCalls()
+	n.parts.Directory.Expire(n.now)
 	n.admitHeld()
 	n.retryAwaiting()
 	n.pump()
@@ -135,7 +136,6 @@
 // expireState cleans the state that changes slowly.
 func (n *Node) expireState() {
 	n.parts.Ledger.Expire(n.now)
-	n.parts.Directory.Expire(n.now)
 	for name, seen := range n.callers {
 		if n.now-seen > callerLife {
 			delete(n.callers, name)
--- a/member.go
+++ b/member.go
@@ -86,7 +86,7 @@
 	Generation() uint64
 	// Contact takes whether the platform can be read.
 	Contact(now Millis, ok bool)
-	// Expire drops entries whose time is over. It is called every second.
+	// Expire drops entries whose time is over. It is called with each tick.
 	Expire(now Millis)
 	// Len returns the number of entries.
 	Len() int
--- a/member/contact.go
+++ b/member/contact.go
@@ -6,5 +6,5 @@
 // kept until peers and the own observation say that it is gone.
 func (d *Directory) Contact(gypsumrail.Millis, bool) {}
 
-// Expire moves the clock, which every other method does as well.
-func (d *Directory) Expire(now gypsumrail.Millis) { d.advance(now) }
+// Expire does nothing: every other method drops what is over.
+func (d *Directory) Expire(gypsumrail.Millis) {}
--- a/member/listed.go
+++ b/member/listed.go
@@ -11,6 +11,10 @@
 // kept after its return: live instances are listed again within about 2 s.
 const returnTime = 2 * gypsumrail.Second
 
+// lapseTime is how long after the platform's return an entry that vanishes counts
+// as lapsed in the outage. What vanishes later has left.
+const lapseTime = gypsumrail.Second / 2
+
 // Listed is a directory for platforms whose list follows instances closely and
 // that every node can watch. The list alone decides, and nodes exchange no
 // rumors; peers are only asked for newer lists while the platform is away. It
@@ -74,7 +78,7 @@
 		if named[name] {
 			continue
 		}
-		if d.settling(now) {
+		if d.away || now-d.returned < lapseTime || e.vanished && d.settling(now) {
 			e.vanished = true
 			continue
 		}
--- a/member/listed_test.go
+++ b/member/listed_test.go
@@ -82,3 +82,17 @@
 		}
 	}
 }
+
+// Guards against an instance that leaves shortly after the platform's return and
+// is kept as if its entry had lapsed in the outage.
+func TestListedLeavesAfterOutage(t *testing.T) {
+	d := NewListed(gypsumrail.Instance{Name: "self", Service: "s", Address: "a:1"})
+	d.MergeList(0, listOf("a", "b", "c"))
+	d.Contact(10_000, false)
+	d.Contact(20_000, true)
+	d.MergeList(20_100, listOf("a", "b"))
+	d.MergeList(21_400, listOf("a"))
+	if diff := cmp.Diff([]string{"a", "c"}, listedNames(d)); diff != "" {
+		t.Errorf("1.4 s after the return (-want +got):\n%s", diff)
+	}
+}
