--- a/internal/node/shell/call_test.go
+++ b/internal/node/shell/call_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/known"
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/link"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
@@ -67,6 +68,7 @@
 
 // Guards against answers that cross between calls that run at once.
 func TestManyCalls(t *testing.T) {
+	known.Red(t, "../../../KNOWN-RED.txt", "shell", false)
 	worker := target(t, stubs.TargetSettings{Slots: 8, AnswerBytes: 40_000})
 	entry, home, _ := pair(t, worker.Address(), options{})
 	var work sync.WaitGroup
