Do not announce revisions where all nodes watch the platform

A revision that several sources bring is no longer warned of: over 500 such lines were written after one restart of the fleet.

--- /dev/null
+++ b/core/adopt_test.go
@@ -0,0 +1,56 @@
+package core_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+	"github.com/gypsumrail/gypsumrail/member"
+)
+
+// Guards against warnings about revisions that several sources bring, and
+// against announcements where every node watches the platform itself: at each
+// change of the list they cost each node three messages.
+func TestAdopt(t *testing.T) {
+	self := gypsumrail.Instance{Name: "s-1", Service: "s", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live}
+	other := gypsumrail.Instance{Name: "s-2", Service: "s", Zone: "z", Address: "127.0.0.1:2", State: gypsumrail.Live}
+	peer := gypsumrail.Instance{Name: "s-2", Address: "127.0.0.1:2"}
+	for _, test := range []struct {
+		name     string
+		every    gypsumrail.Millis
+		revision gypsumrail.Revision
+		peer     gypsumrail.Instance
+		want     []gypsumrail.EffectKind
+		notice   gypsumrail.Notice
+	}{
+		{"newer, all watch", -1, 9, gypsumrail.Instance{}, []gypsumrail.EffectKind{gypsumrail.Adopt, gypsumrail.Log}, gypsumrail.NoticeRevisionAdopted},
+		{"newer, with gossip", 1000, 9, gypsumrail.Instance{}, []gypsumrail.EffectKind{gypsumrail.Adopt, gypsumrail.Log, gypsumrail.SendExchange}, gypsumrail.NoticeRevisionAdopted},
+		{"the same", -1, 8, gypsumrail.Instance{}, nil, 0},
+		{"older, of the platform", -1, 7, gypsumrail.Instance{}, []gypsumrail.EffectKind{gypsumrail.Log}, gypsumrail.NoticeRevisionIgnored},
+		{"older, of a peer", -1, 7, peer, nil, 0},
+		{"far ahead, of a peer", -1, 1 << 60, peer, []gypsumrail.EffectKind{gypsumrail.Log}, gypsumrail.NoticeRevisionIgnored},
+	} {
+		parts := setup.New(self, setup.Settings{})
+		parts.Directory = member.NewListed(self)
+		n := core.New(core.Settings{GossipEvery: test.every}, parts)
+		read := func(revision gypsumrail.Revision, from gypsumrail.Instance) []gypsumrail.Effect {
+			return n.Step(&gypsumrail.Event{
+				Kind: gypsumrail.InstancesRead, At: 10, Instances: []gypsumrail.Instance{self, other}, Peer: from,
+				Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: revision},
+			})
+		}
+		read(8, gypsumrail.Instance{})
+		var kinds []gypsumrail.EffectKind
+		var notice gypsumrail.Notice
+		for _, e := range read(test.revision, test.peer) {
+			kinds = append(kinds, e.Kind)
+			notice = max(notice, e.Notice)
+		}
+		if diff := cmp.Diff(test.want, kinds); diff != "" || notice != test.notice {
+			t.Errorf("%s: notice %d, effects (-want +got): %s", test.name, notice, diff)
+		}
+	}
+}
--- a/core/config.go
+++ b/core/config.go
@@ -34,15 +34,31 @@
 	n.clocks.gossip = min(n.clocks.gossip, n.now-n.settings.GossipAway)
 }
 
-// adopt puts a value in force if it is newer and tells some peers at once.
+// adopt puts a value in force if it is newer.
 func (n *Node) adopt(event *gypsumrail.Event) bool {
-	if !n.parts.Values.Adopt(n.now, event.Value, event.Peer.Name != "") {
-		n.notice(gypsumrail.NoticeRevisionIgnored, string(event.Value.Name), gypsumrail.ReasonNone)
+	fromPeer := event.Peer.Name != ""
+	if !n.parts.Values.Adopt(n.now, event.Value, fromPeer) {
+		// That several sources bring the same revision is usual, and so is a peer
+		// whose answer was overtaken.
+		current := n.parts.Values.Current(event.Value.Name)
+		if event.Value.Revision > current.Revision || event.Value.Revision < current.Revision && !fromPeer {
+			n.notice(gypsumrail.NoticeRevisionIgnored, string(event.Value.Name), gypsumrail.ReasonNone)
+		}
 		return false
 	}
 	n.defaults = false
 	n.emit(gypsumrail.Effect{Kind: gypsumrail.Adopt, Value: event.Value})
 	n.notice(gypsumrail.NoticeRevisionAdopted, string(event.Value.Name), gypsumrail.ReasonNone)
+	if n.settings.GossipEvery > 0 {
+		n.announce(event)
+	}
+	return true
+}
+
+// announce tells some peers of an adopted value. Where all nodes watch the
+// platform and there is no regular gossip, nobody needs to be told: a node that
+// cannot read the platform asks.
+func (n *Node) announce(event *gypsumrail.Event) {
 	var told [announceMax]string
 	for i := range announceMax {
 		peer, ok := n.parts.Directory.Partner(n.random.Uint64())
@@ -52,7 +68,6 @@
 		told[i] = peer.Name
 		n.sendExchange(peer, 0, false, nil)
 	}
-	return true
 }
 
 // upstreamsEvery limits how often the router gets the directory's changes. A list
