Watch all parts of the platform's store with one call

One watch of the prefix that both have in common, which is empty on the platform, halves them while nothing changes; listings stay by part. The loss of the platform is one event now, not one for each value.

--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -1,8 +1,8 @@
-// Package follow keeps a copy of a part of the platform's store up to date.
+// Package follow keeps copies of parts of the platform's store up to date.
 //
 // A listing tells the state at one moment and a watch the changes since, so one
-// pending call per prefix is all that a node costs the store while nothing
-// changes. The package closes the gaps between the two: pages that are no
+// pending call is all that a node costs the store while nothing changes: the
+// watch is on the prefix that all parts have in common, which may be empty. The package closes the gaps between the two: pages that are no
 // snapshot, a history that was dropped, a store that is away, refuses this node
 // or answers nothing. It only copies; what a vanished item means is decided by
 // whoever takes the copy.
@@ -14,6 +14,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -30,11 +31,17 @@
 	// of the time in which a configuration must be in force after an outage.
 	pauseFirst = 20 * time.Millisecond
 	pauseLast  = 500 * time.Millisecond
-	// itemsMax bounds the copy; the target size is 640 instances.
+	// itemsMax bounds the copy of a part; the target size is 640 instances.
 	itemsMax = 16384
 )
 
-// Take gets the whole copy, ordered by key, whenever it changed, with the
+// Part is what one taker wants: the items below a prefix.
+type Part struct {
+	Prefix string
+	Take   Take
+}
+
+// Take gets the whole copy of a part, ordered by key, whenever it changed, with the
 // revision of its last change, so that nodes with equal copies call them alike. It
 // must not keep the slice.
 type Take func(items []gypsumrail.Item, revision uint64)
@@ -42,49 +49,71 @@
 // Contact gets the error of the first failed read, and nil once reads succeed again.
 type Contact func(err error)
 
-// Prefix follows the items below one prefix until ctx ends.
-type Prefix struct {
+// Follower follows the items of some parts.
+type Follower struct {
 	store   gypsumrail.Store
-	prefix  string
+	prefix  string // common to all parts
 	wait    time.Duration
-	take    Take
 	contact Contact
+	parts   []*copied
 
-	items    map[string]gypsumrail.Item
 	revision uint64        // from where the next watch goes on
-	version  uint64        // of the copy: the revision of its last change
 	answer   time.Duration // what an answer may take now
 	listed   bool
 	lost     bool
 }
 
-// New returns a follower. Each watch waits for a random time between half of wait
-// and wait. A shorter one costs more calls; a longer one hides for longer that a
-// watch hears nothing. The random part lets the watches of a fleet end one after
-// the other, so that some node soon notices what all of them missed. Take and
-// contact are called on the goroutine of Run.
-func New(store gypsumrail.Store, prefix string, wait time.Duration, take Take, contact Contact) *Prefix {
-	return &Prefix{store: store, prefix: prefix, wait: wait, take: take, contact: contact, items: make(map[string]gypsumrail.Item)}
+// copied is the copy of one part.
+type copied struct {
+	Part
+	items   map[string]gypsumrail.Item
+	version uint64 // the revision of its last change
+}
+
+// New returns a follower of parts whose prefixes do not overlap. Each watch waits
+// for a random time between half of wait and wait. A shorter one costs more calls;
+// a longer one hides for longer that a watch hears nothing. The random part lets
+// the watches of a fleet end one after the other, so that some node soon notices
+// what all of them missed. The functions of the parts and contact are called on
+// the goroutine of Run.
+func New(store gypsumrail.Store, wait time.Duration, contact Contact, parts ...Part) *Follower {
+	f := &Follower{store: store, wait: wait, contact: contact}
+	for i, part := range parts {
+		if i == 0 {
+			f.prefix = part.Prefix
+		}
+		f.prefix = commonPrefix(f.prefix, part.Prefix)
+		f.parts = append(f.parts, &copied{Part: part, items: make(map[string]gypsumrail.Item)})
+	}
+	return f
+}
+
+func commonPrefix(a, b string) string {
+	n := 0
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	return a[:n]
 }
 
-// Run follows the prefix until ctx ends.
-func (p *Prefix) Run(ctx context.Context) {
+// Run follows the parts until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
 	pause := pauseFirst
-	p.answer = answerFirst
+	f.answer = answerFirst
 	for ctx.Err() == nil {
-		err := p.next(ctx)
+		err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
 			pause = pauseFirst
-			p.answer = answerFirst
-			p.report(nil)
+			f.answer = answerFirst
+			f.report(nil)
 		case errors.Is(err, gypsumrail.ErrHistoryGone):
-			p.listed = false
+			f.listed = false
 		default:
-			p.report(err)
-			p.answer = min(2*p.answer, answerLast)
+			f.report(err)
+			f.answer = min(2*f.answer, answerLast)
 			rest(ctx, pause)
 			pause = min(2*pause, pauseLast)
 		}
@@ -92,57 +121,86 @@
 }
 
 // report tells of the first failure and of the first success after it.
-func (p *Prefix) report(err error) {
-	if lost := err != nil; lost != p.lost {
-		p.lost = lost
-		p.contact(err)
+func (f *Follower) report(err error) {
+	if lost := err != nil; lost != f.lost {
+		f.lost = lost
+		f.contact(err)
 	}
 }
 
 // next makes one listing or one watch.
-func (p *Prefix) next(ctx context.Context) error {
-	if !p.listed {
-		return p.list(ctx)
+func (f *Follower) next(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
 	}
-	wait := p.wait/2 + rand.N(p.wait/2+1) //nolint:gosec // spreads load, guards nothing
-	if p.lost {
+	wait := f.wait/2 + rand.N(f.wait/2+1) //nolint:gosec // spreads load, guards nothing
+	if f.lost {
 		wait = 0 // a waiting watch would not tell that the store is back
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+p.answer)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.answer)
 	defer cancel()
-	changes, err := p.store.Changes(ctx, p.prefix, p.revision, wait)
+	changes, err := f.store.Changes(ctx, f.prefix, f.revision, wait)
 	if err != nil {
 		return err //nolint:wrapcheck // the store's errors are this package's own
 	}
 	// The copy is handed on after the contact, because what vanished during an
 	// outage is judged differently.
-	p.report(nil)
-	changed := false
+	f.report(nil)
+	changed := make([]bool, len(f.parts))
 	for i := range changes.List {
-		changed = p.apply(&changes.List[i]) || changed
-		p.version = max(p.version, changes.List[i].Revision)
+		change := &changes.List[i]
+		for j, part := range f.parts {
+			if strings.HasPrefix(change.Key, part.Prefix) {
+				changed[j] = part.apply(change) || changed[j]
+			}
+		}
 	}
 	// An answer without changes does not move the revision: a watch that heard
 	// nothing would step over what it missed. The history then tells it later, or
 	// is gone, which leads to a new listing.
 	if len(changes.List) > 0 {
-		p.revision = max(p.revision, changes.Revision)
+		f.revision = max(f.revision, changes.Revision)
 	}
-	if changed {
-		p.hand()
+	for j, part := range f.parts {
+		if changed[j] {
+			part.hand()
+		}
 	}
 	return nil
 }
 
-// list reads all pages. Changes that happen meanwhile are after the revision of
+// list lists all parts. Changes that happen meanwhile are after the revision of
 // the first page, from where the watch goes on.
-func (p *Prefix) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context) error {
+	revision := uint64(0)
+	lists := make([]map[string]gypsumrail.Item, len(f.parts))
+	for i, part := range f.parts {
+		items, first, err := f.listPart(ctx, part.Prefix)
+		if err != nil {
+			return err
+		}
+		lists[i] = items
+		if i == 0 {
+			revision = first
+		}
+	}
+	f.report(nil)
+	f.revision, f.listed = revision, true
+	for i, part := range f.parts {
+		part.replace(lists[i], revision)
+		part.hand()
+	}
+	return nil
+}
+
+// listPart reads all pages of a part and returns the revision of the first one.
+func (f *Follower) listPart(ctx context.Context, prefix string) (map[string]gypsumrail.Item, uint64, error) {
 	items := make(map[string]gypsumrail.Item)
 	revision, after := uint64(0), ""
 	for {
-		page, err := p.page(ctx, after)
+		page, err := f.page(ctx, prefix, after)
 		if err != nil {
-			return err
+			return nil, 0, err
 		}
 		if revision == 0 {
 			revision = page.Revision
@@ -153,54 +211,56 @@
 			}
 		}
 		if !page.More || len(page.List) == 0 {
-			break
+			return items, revision, nil
 		}
 		after = page.List[len(page.List)-1].Key
 	}
-	p.report(nil)
-	for key := range p.items {
+}
+
+func (f *Follower) page(ctx context.Context, prefix, after string) (gypsumrail.Items, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.answer)
+	defer cancel()
+	return f.store.List(ctx, prefix, after) //nolint:wrapcheck // as in next
+}
+
+// replace takes a listing, which does not tell when a vanished item was removed.
+func (c *copied) replace(items map[string]gypsumrail.Item, revision uint64) {
+	for key := range c.items {
 		if _, ok := items[key]; !ok {
-			p.version = revision // the listing does not tell when an item was removed
+			c.version = revision
 		}
 	}
 	for _, item := range items {
-		p.version = max(p.version, item.Revision)
+		c.version = max(c.version, item.Revision)
 	}
-	p.items, p.revision, p.listed = items, revision, true
-	p.hand()
-	return nil
-}
-
-func (p *Prefix) page(ctx context.Context, after string) (gypsumrail.Items, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.answer)
-	defer cancel()
-	return p.store.List(ctx, p.prefix, after) //nolint:wrapcheck // as in next
+	c.items = items
 }
 
 // apply takes one change and reports whether it is news. Changes that a later
 // page of the listing already showed come again.
-func (p *Prefix) apply(change *gypsumrail.Item) bool {
-	known, ok := p.items[change.Key]
+func (c *copied) apply(change *gypsumrail.Item) bool {
+	c.version = max(c.version, change.Revision)
+	known, ok := c.items[change.Key]
 	switch {
 	case ok && known.Revision >= change.Revision:
 		return false
 	case change.Removed:
-		delete(p.items, change.Key)
+		delete(c.items, change.Key)
 		return ok
-	case !ok && len(p.items) >= itemsMax:
+	case !ok && len(c.items) >= itemsMax:
 		return false
 	}
-	p.items[change.Key] = *change
+	c.items[change.Key] = *change
 	return true
 }
 
-func (p *Prefix) hand() {
-	items := make([]gypsumrail.Item, 0, len(p.items))
-	for _, item := range p.items {
+func (c *copied) hand() {
+	items := make([]gypsumrail.Item, 0, len(c.items))
+	for _, item := range c.items {
 		items = append(items, item)
 	}
 	slices.SortFunc(items, func(a, b gypsumrail.Item) int { return cmp.Compare(a.Key, b.Key) })
-	p.take(items, p.version)
+	c.Take(items, c.version)
 }
 
 func rest(ctx context.Context, pause time.Duration) {
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -44,12 +44,12 @@
 	return next.items, next.err
 }
 
-func (s *script) List(ctx context.Context, _, after string) (gypsumrail.Items, error) {
-	return s.answer(ctx, "list "+after)
+func (s *script) List(ctx context.Context, prefix, after string) (gypsumrail.Items, error) {
+	return s.answer(ctx, "list "+prefix+after)
 }
 
-func (s *script) Changes(ctx context.Context, _ string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
-	call := "watch " + string(rune('0'+since))
+func (s *script) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
+	call := "watch " + prefix + string(rune('0'+since))
 	if wait == 0 {
 		call += " now"
 	}
@@ -144,7 +144,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				New(s, "p/", time.Second, take, contact).Run(ctx)
+				New(s, time.Second, contact, Part{Take: take}).Run(ctx)
 			}()
 			<-s.ended
 			cancel()
@@ -158,3 +158,39 @@
 		})
 	}
 }
+
+// Guards against a second watch for a second prefix, and against parts that get
+// changes or revisions of others.
+func TestFollowParts(t *testing.T) {
+	s := &script{ended: make(chan struct{}), steps: []step{
+		{items: items(3, item("r/a", 1))},
+		{items: items(5, item("s/b", 5))},
+		{items: items(6, item("s/c", 6), item("q/x", 4), item("r/a", 1))},
+		{items: items(8, removed("s/b", 8), item("r/a", 7))},
+	}}
+	var got []string
+	take := func(name string) Take {
+		return func(list []gypsumrail.Item, revision uint64) {
+			line := name + string(rune('0'+revision))
+			for _, i := range list {
+				line += " " + i.Key
+			}
+			got = append(got, line)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		New(s, time.Second, func(error) {}, Part{"r/", take("r")}, Part{"s/", take("s")}).Run(ctx)
+	}()
+	<-s.ended
+	cancel()
+	<-done
+	if diff := cmp.Diff([]string{"r1 r/a", "s5 s/b", "s6 s/b s/c", "r7 r/a", "s8 s/c"}, got); diff != "" {
+		t.Errorf("handed on (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"list r/", "list s/", "watch 3", "watch 6", "watch 8"}, s.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -153,7 +153,7 @@
 		Node  any
 		Shell admin.Shell
 	}{node, admin.Shell{
-		Calls: len(r.calls), Ready: r.isReady(), Watching: r.lost == 0, LinesDropped: r.lines.Dropped(),
+		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.away.Load(), LinesDropped: r.lines.Dropped(),
 		RecordsInForce: r.revision(),
 	}})
 	r.mu.Unlock()
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -96,6 +96,7 @@
 	limit   chan struct{} // control messages under way
 	records atomic.Pointer[gypsumrail.Records]
 	listed  atomic.Bool
+	away    atomic.Bool // the platform cannot be read
 	leaving atomic.Bool
 	held    atomic.Int64 // bytes of large bodies
 	behind  atomic.Bool  // a stamp of a peer told of newer values, which are about to be fetched
@@ -111,7 +112,6 @@
 	waiters  map[gypsumrail.CallID]chan gypsumrail.Exchange
 	out      []delivery
 	next     []gypsumrail.Event // that follow from the present one
-	lost     int                // followers that cannot read the platform
 	ticker   *time.Ticker
 	resting  bool
 	stopping bool
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -16,47 +16,32 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
-// The longest waits of watches. They are part of the time in which a change is
-// in force that the watches of most nodes missed; see package follow. A change of
-// the records must be in force, and a leaving target without new calls, within 2 s.
-const (
-	recordsWait   = 2 * time.Second
-	instancesWait = 2 * time.Second
-)
+// watchWait is the longest wait of a watch. It is part of the time in which a
+// change is in force that the watches of most nodes missed; see package follow. A
+// change of the records must be in force, and a leaving target without new calls,
+// within 2 s.
+const watchWait = 2 * time.Second
 
 // follow watches the records and the instances on the platform.
 func (r *Relay) follow(work *sync.WaitGroup) {
 	catalog := r.parts.Catalog
-	records := follow.New(r.parts.Store, catalog.RecordsKey(), recordsWait, r.takeRecords, r.contact(gypsumrail.ValueRecords))
-	instances := follow.New(r.parts.Store, catalog.InstancesPrefix(), instancesWait, r.takeInstances(), r.contact(gypsumrail.ValueInstances))
-	work.Go(func() { records.Run(r.base) })
-	work.Go(func() { instances.Run(r.base) })
+	follower := follow.New(r.parts.Store, watchWait, r.contact,
+		follow.Part{Prefix: catalog.RecordsKey(), Take: r.takeRecords},
+		follow.Part{Prefix: catalog.InstancesPrefix(), Take: r.takeInstances()},
+	)
+	work.Go(func() { follower.Run(r.base) })
 }
 
-// contact returns what takes the loss and the return of the platform. The reducer
-// counts it as lost while either of the two values cannot be read.
-func (r *Relay) contact(name gypsumrail.ValueName) follow.Contact {
-	return func(err error) {
-		event := gypsumrail.Event{Kind: gypsumrail.PlatformFound}
-		r.mu.Lock()
-		if err != nil {
-			r.lost++
-		} else {
-			r.lost--
-		}
-		if r.lost > 0 {
-			event.Kind = gypsumrail.PlatformLost
-		}
-		r.step(&event)
-		out := r.take()
-		r.mu.Unlock()
-		write(out, nil)
-		if err != nil {
-			r.lines.Put(shell.NoticePlatformAway, string(name), gypsumrail.ReasonNone, err.Error())
-		} else {
-			r.lines.Put(shell.NoticePlatformBack, string(name), gypsumrail.ReasonNone, "")
-		}
+// contact takes the loss and the return of the platform.
+func (r *Relay) contact(err error) {
+	r.away.Store(err != nil)
+	if err != nil {
+		r.lines.Put(shell.NoticePlatformAway, r.settings.Self.Name, gypsumrail.ReasonNone, err.Error())
+		r.post(&gypsumrail.Event{Kind: gypsumrail.PlatformLost})
+		return
 	}
+	r.lines.Put(shell.NoticePlatformBack, r.settings.Self.Name, gypsumrail.ReasonNone, "")
+	r.post(&gypsumrail.Event{Kind: gypsumrail.PlatformFound})
 }
 
 // takeRecords offers what operators published.
