Leave slots free on targets that slow down when nearly full

Ruled out: the adaptive limit of before, which probes by halves and doubts a limit only from 1.6 times the usual time.

limit.Headroom compares the time per call at 1, 0.94, 0.88 and 0.82 of the slots in short trials while the target is full, and takes the limit with the highest throughput. Calls right after a change do not count, as the first to end are the short ones.

--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 
 	"go.uber.org/dig"
 	"go.uber.org/fx"
@@ -76,9 +75,9 @@
 	return n, nil
 }
 
-// newRelayLimiter takes the slots of the list as they are: there each target
-// states its own, and a learned limit could only be lower.
-func newRelayLimiter() gypsumrail.Limiter { return limit.NewStatic(math.MaxInt32) }
+// newRelayLimiter takes the slots of the list, where each target states its own,
+// and leaves some free on targets that slow down when they are nearly full.
+func newRelayLimiter() gypsumrail.Limiter { return limit.NewHeadroom() }
 
 // newRelayShedder takes the shedder for services whose callers refuse for them.
 func newRelayShedder() gypsumrail.Shedder { return shed.NewBacklog(shed.Settings{}) }
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -31,5 +31,8 @@
 // a recovered target. The time per call while at most half of the limit is in use
 // stands for the unhindered one, so that a target that is never full is never probed.
 //
+// Headroom is a smaller choice for targets that state their slots truly: it keeps
+// to them and only learns whether to leave some free.
+//
 // Static and Unlimited serve as baselines.
 package limit
