Serve the events of a sidecar on its admin port

Recording a node needs its events, which only the nodes for keyed calls served. The handler moves to events.Stream, where both admin ports share it.

--- a/internal/node/events/stream.go
+++ b/internal/node/events/stream.go
@@ -5,9 +5,12 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"github.com/gin-gonic/gin"
+
 	"github.com/gypsumrail/gypsumrail"
 )
 
@@ -89,3 +92,32 @@
 
 // Dropped returns the lines that readers missed.
 func (s *Stream) Dropped() uint64 { return s.dropped.Load() }
+
+// Serve writes the events as JSON lines until the client leaves.
+func (s *Stream) Serve(c *gin.Context) {
+	reader, ok := s.Open()
+	if !ok {
+		c.String(http.StatusServiceUnavailable, "too many readers\n")
+		return
+	}
+	defer s.Leave(reader)
+	c.Header("Content-Type", "application/jsonl")
+	c.Status(http.StatusOK)
+	c.Writer.Flush()
+	for {
+		select {
+		case line, open := <-reader:
+			if !open {
+				return
+			}
+			if _, err := c.Writer.Write(line); err != nil {
+				return
+			}
+			if len(reader) == 0 {
+				c.Writer.Flush()
+			}
+		case <-c.Request.Context().Done():
+			return
+		}
+	}
+}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -93,6 +93,7 @@
 	quiet   *link.Pool
 	values  *feed.Store
 	lines   *events.Log
+	stream  *events.Stream
 	limit   chan struct{} // control messages under way
 	records atomic.Pointer[gypsumrail.Records]
 	listed  atomic.Bool
@@ -126,7 +127,7 @@
 		settings: settings, parts: parts, listeners: listeners,
 		base: base, cancel: cancel, stopped: make(chan struct{}),
 		peers: pool.New(peerIdle), targets: pool.New(targetIdle), quiet: link.NewPool(),
-		values: feed.NewStore(), limit: make(chan struct{}, controlMax),
+		values: feed.NewStore(), stream: events.NewStream(), limit: make(chan struct{}, controlMax),
 		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only
 		calls:   make(map[gypsumrail.CallID]*call),
 		running: make(map[string]*call),
@@ -153,6 +154,7 @@
 	case <-r.stopped:
 	case <-ctx.Done():
 	}
+	r.stream.Close()
 	r.listeners.close()
 	for _, server := range servers {
 		_ = server.Close()
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -73,6 +73,7 @@
 	}
 	event.At = now
 	event.Random = r.random.Uint64()
+	r.stream.Publish(event)
 	effects := r.parts.Reducer.Step(event)
 	for i := range effects {
 		r.perform(now, &effects[i])
--- a/internal/node/shell/admin.go
+++ b/internal/node/shell/admin.go
@@ -32,7 +32,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", s.readyz)
 	router.GET("/status", s.status)
-	router.GET("/events", s.events)
+	router.GET("/events", s.stream.Serve)
 	if s.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(s.parts.Metrics))
 	}
@@ -73,35 +73,6 @@
 	c.Data(http.StatusOK, "application/json", content)
 }
 
-// events streams the reducer's events as JSON lines until the client leaves.
-func (s *Shell) events(c *gin.Context) {
-	reader, ok := s.stream.Open()
-	if !ok {
-		c.String(http.StatusServiceUnavailable, "too many readers\n")
-		return
-	}
-	defer s.stream.Leave(reader)
-	c.Header("Content-Type", "application/jsonl")
-	c.Status(http.StatusOK)
-	c.Writer.Flush()
-	for {
-		select {
-		case line, open := <-reader:
-			if !open {
-				return
-			}
-			if _, err := c.Writer.Write(line); err != nil {
-				return
-			}
-			if len(reader) == 0 {
-				c.Writer.Flush()
-			}
-		case <-c.Request.Context().Done():
-			return
-		}
-	}
-}
-
 // tickets answers POST /tickets?Service=&Class=&Count= with idempotency keys.
 func (s *Shell) tickets(c *gin.Context) {
 	service, class := c.Query("Service"), c.Query("Class")
