Serve peers while draining, and use a draining node when no other is in reach

Ruled out: the target of the draining node, which served its own clients all the time.

A draining node now serves peers' calls that end before its drain does, as it does for clients. Peers still leave it out as long as the service has another upstream; lost upstreams count where the router decides that most of a service fails. Both tests fail without the change.

--- a/core/drain.go
+++ b/core/drain.go
@@ -54,7 +54,7 @@
 	return slices.SortedFunc(maps.Keys(calls), cmp.Compare[gypsumrail.CallID])
 }
 
-// finishesInDrain tells whether a caller's new call is surely over before the drain ends.
-func (n *Node) finishesInDrain(s *send) bool {
-	return n.settings.ServeDraining && s.deadline <= n.drainAt+n.settings.DrainMax
+// finishesInDrain tells whether a new call is surely over before the drain ends.
+func (n *Node) finishesInDrain(deadline gypsumrail.Millis) bool {
+	return n.settings.ServeDraining && deadline <= n.drainAt+n.settings.DrainMax
 }
--- a/core/plain_test.go
+++ b/core/plain_test.go
@@ -149,13 +149,15 @@
 		at     gypsumrail.Millis
 		served bool
 	}{{10_000, true}, {13_999, true}, {14_001, false}, {15_499, false}} {
-		effects := n.Step(&gypsumrail.Event{
-			Kind: gypsumrail.CallArrived, Call: gypsumrail.CallID(i + 1), At: test.at,
-			Arrival: &gypsumrail.Arrival{Origin: gypsumrail.FromCaller, Class: "c", Request: fmt.Sprint(i), Attempt: 1, Remaining: 5000},
-		})
-		e := effectOf(effects, gypsumrail.RunTarget, gypsumrail.Refuse)
-		if served := e.Kind == gypsumrail.RunTarget; served != test.served || !served && (e.Reason != gypsumrail.ReasonDraining || e.RetryAfter == 0) {
-			t.Errorf("%d ms after the drain began: %+v", test.at-10_000, e)
+		for j, arrival := range []gypsumrail.Arrival{
+			{Origin: gypsumrail.FromCaller, Class: "c", Request: fmt.Sprint(i), Attempt: 1, Remaining: 5000},
+			{Origin: gypsumrail.FromPeer, Service: "front", Class: "c", Request: fmt.Sprint("p", i), Attempt: 1, Remaining: 1500, Importance: 5},
+		} {
+			effects := n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: gypsumrail.CallID(2*i + j + 1), At: test.at, Arrival: &arrival})
+			e := effectOf(effects, gypsumrail.RunTarget, gypsumrail.Refuse)
+			if served := e.Kind == gypsumrail.RunTarget; served != test.served || !served && (e.Reason != gypsumrail.ReasonDraining || e.RetryAfter == 0) {
+				t.Errorf("%v, %d ms after the drain began: %+v", arrival.Origin, test.at-10_000, e)
+			}
 		}
 	}
 }
--- a/core/send.go
+++ b/core/send.go
@@ -136,7 +136,7 @@
 	switch {
 	case len(n.sends) >= callsMax:
 		return gypsumrail.ReasonOverload
-	case n.draining && s.origin == gypsumrail.FromCaller && !n.finishesInDrain(s):
+	case n.draining && s.origin == gypsumrail.FromCaller && !n.finishesInDrain(s.deadline):
 		return gypsumrail.ReasonDraining
 	case s.origin == gypsumrail.FromCaller && n.bootstrapping(s.class):
 		return gypsumrail.ReasonNoUpstream
--- a/core/serve.go
+++ b/core/serve.go
@@ -89,7 +89,7 @@
 // checkAdmission returns the reason to refuse a call before it waits.
 func (n *Node) checkAdmission(v *serve) gypsumrail.Reason {
 	switch {
-	case n.draining && !v.local:
+	case n.draining && !v.local && !n.finishesInDrain(v.deadline):
 		return gypsumrail.ReasonDraining
 	case len(n.serves) >= callsMax:
 		return gypsumrail.ReasonOverload
--- a/core/settings.go
+++ b/core/settings.go
@@ -32,8 +32,9 @@
 	// that is short of capacity would be lost. The first call to a service is refused
 	// like any other, which costs that service nothing.
 	KeepChildren bool
-	// ServeDraining lets a draining node go on with the calls of its own callers,
-	// who may have no other node to go to. Other nodes' calls are always refused.
+	// ServeDraining lets a draining node go on with calls that end before the drain
+	// does: its own callers may have no other node to go to, and other nodes send
+	// none as long as the service has another upstream.
 	ServeDraining bool
 	DrainMin      gypsumrail.Millis // shortest drain; default 1 s
 	DrainMax      gypsumrail.Millis // after which what still runs is cut; default 30 s
--- a/route/eject.go
+++ b/route/eject.go
@@ -79,7 +79,8 @@
 
 // mostEjected applies the same rule to the upstreams that have the needed
 // capabilities. Choose uses it when nothing else is usable, so that a class
-// which few upstreams can serve is not cut off.
+// which few upstreams can serve is not cut off. Lost upstreams count as failing:
+// one that drains serves what it gets, and is then better than none.
 func (s *service) mostEjected(q *query) bool {
 	all, out := 0, 0
 	for _, u := range s.upstreams {
@@ -87,7 +88,7 @@
 			continue
 		}
 		all++
-		if u.ejected(q.now) {
+		if u.ejected(q.now) || u.quiet.lost {
 			out++
 		}
 	}
--- a/route/learn_test.go
+++ b/route/learn_test.go
@@ -153,3 +153,29 @@
 		})
 	}
 }
+
+// Pattern: one of two upstreams is cut off while the node of the other restarts.
+// Guards against a service without upstreams although one of them serves all that
+// it gets until its drain ends.
+func TestLeavingServesWhileOtherIsLost(t *testing.T) {
+	r := &rig{Router: New(gypsumrail.Instance{Zone: "a"}, Settings{LeavingTime: 2000, QuietAfter: 100})}
+	r.SetUpstreams(0, "s", list(2, nil))
+	r.report(0, 0, func(report *gypsumrail.Report) { report.Leaving = true })
+	if got := r.chosen(10, gypsumrail.Choice{}); got != "[1]" {
+		t.Fatalf("chosen while both are in reach: %s", got)
+	}
+	r.Sent(10, name(1))
+	if due := r.Overdue(1000, nil); len(due) != 1 || due[0].Name != name(1) {
+		t.Fatalf("asked: %v", due)
+	}
+	if !r.Lost(1500, name(1)) {
+		t.Fatal("the upstream is not lost")
+	}
+	if got := r.chosen(1500, gypsumrail.Choice{}); got != "[0]" {
+		t.Errorf("chosen while one is lost: %s", got)
+	}
+	r.Seen(1600, name(1))
+	if got := r.chosen(1600, gypsumrail.Choice{}); got != "[1]" {
+		t.Errorf("chosen once it is back: %s", got)
+	}
+}
