Ask the node of a target that hangs less and less often

A sign of life of the node cleared the time of the last question, so a hung target made each sender ask several times a second for as long as it hung. The time between questions now doubles from 0.5 s to 8 s until the target answers a call. Test: route TestQuestionsToHungTarget.

--- a/internal/node/notice/table.go
+++ b/internal/node/notice/table.go
@@ -84,7 +84,7 @@
 	{2102, "InstancesRejected", log.ErrorLevel, "list of instances rejected",
 		"a list of instances has a fault; the one in force stays", "correct the entry that `Detail` names and publish again"},
 	{2103, "PlatformAway", log.WarnLevel, "platform cannot be read",
-		"a read of the value in `Subject` failed; written once until it works again",
+		"a read failed, in `node` of the value in `Subject`; written once until it works again",
 		"check the platform; the node continues with what is in force"},
 	{2104, "PlatformBack", log.InfoLevel, "platform can be read again", "a read worked after failed ones", "nothing"},
 	{2105, "PullFailed", log.WarnLevel, "value could not be fetched from a peer",
--- a/route/learn.go
+++ b/route/learn.go
@@ -22,7 +22,7 @@
 	if u == nil {
 		return
 	}
-	u.quiet.sign(now)
+	u.quiet.answered(now)
 	u.failures, u.ejections = 0, 0
 	if u.ejectedUntil != 0 {
 		u.ejectedUntil = 0
@@ -49,7 +49,7 @@
 	}
 	switch reason {
 	case gypsumrail.ReasonTargetFailed, gypsumrail.ReasonMisdirected:
-		u.quiet.sign(now) // of its node
+		u.quiet.answered(now) // by its node
 	}
 	switch reason {
 	case gypsumrail.ReasonSilent, gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded:
--- a/route/learn_test.go
+++ b/route/learn_test.go
@@ -179,3 +179,29 @@
 		t.Errorf("chosen once it is back: %s", got)
 	}
 }
+
+// Pattern: a target stops answering while its node lives. Guards against control
+// messages of all senders to that node at a rate that does not fall.
+func TestQuestionsToHungTarget(t *testing.T) {
+	r := &rig{Router: New(gypsumrail.Instance{Zone: "a"}, Settings{QuietAfter: 100})}
+	r.SetUpstreams(0, "s", list(2, nil))
+	var asked []gypsumrail.Millis
+	for now := gypsumrail.Millis(1000); now < 21_000; now += 10 {
+		r.Sent(now, name(1))
+		if due := r.Overdue(now, nil); len(due) > 0 {
+			asked = append(asked, now)
+			if r.Seen(now, name(1)) {
+				t.Fatal("the upstream counts as lost")
+			}
+		}
+	}
+	// After 100 ms of silence, and then in times that double from 0.5 s to 8 s.
+	if diff := cmp.Diff([]gypsumrail.Millis{1110, 2110, 4110, 8110, 16_110}, asked); diff != "" {
+		t.Errorf("asked at: %s", diff)
+	}
+	r.report(21_000, 1, func(*gypsumrail.Report) {})
+	r.Sent(21_010, name(1))
+	if due := r.Overdue(22_000, nil); len(due) != 1 {
+		t.Errorf("asked after an answer: %v", due)
+	}
+}
--- a/route/quiet.go
+++ b/route/quiet.go
@@ -12,9 +12,11 @@
 	// the node of an upstream is asked. At random arrivals three pass in one of
 	// twenty cases, which costs one control message.
 	quietGaps = 3
-	// askEvery is the time between two questions to the same node. It is not below
-	// the time that a control message may take.
+	// askEvery is the least time between two questions to the same node. It is not
+	// below the time that a control message may take. While the node answers and its
+	// target does not, the time doubles up to askMost: all senders ask.
 	askEvery = gypsumrail.Second / 2
+	askMost  = 8 * gypsumrail.Second
 )
 
 // quiet is how long an upstream has given no sign of life while calls were
@@ -24,6 +26,7 @@
 	since gypsumrail.Millis // start of the current time with calls and without a sign
 	held  gypsumrail.Millis // such time before calls were last outstanding
 	asked gypsumrail.Millis // of the last question to its node
+	wait  gypsumrail.Millis // until the next one; 0 if there was none
 	asks  bool              // its node was asked after the last sign
 	lost  bool              // its node gave no answer
 }
@@ -36,10 +39,18 @@
 // end counts the last of some calls, which may have got no answer.
 func (q *quiet) end(now gypsumrail.Millis) { q.held = now - q.since }
 
-// sign takes a sign of life and reports whether the upstream counted as lost.
-func (q *quiet) sign(now gypsumrail.Millis) bool {
-	lost := q.lost
-	*q = quiet{since: now}
+// answered takes an answer to a call.
+func (q *quiet) answered(now gypsumrail.Millis) {
+	*q = quiet{since: now, asked: q.asked, wait: min(q.wait, askEvery)}
+}
+
+// seen takes a sign of life of the node and reports whether the upstream counted as lost.
+func (q *quiet) seen(now gypsumrail.Millis) bool {
+	lost, wait := q.lost, q.wait
+	if q.asks && !lost {
+		wait = min(2*wait, askMost)
+	}
+	*q = quiet{since: now, asked: q.asked, wait: wait}
 	return lost
 }
 
@@ -62,11 +73,14 @@
 	now = r.clock(now)
 	for _, u := range r.upstreams {
 		q := &u.quiet
-		if u.listed == 0 || u.Instance.Name == r.self.Name || q.asks && now-q.asked < askEvery {
+		if u.listed == 0 || u.Instance.Name == r.self.Name || q.wait > 0 && now-q.asked < q.wait {
 			continue
 		}
 		if q.lost || u.overdue(now, r.settings.QuietAfter) {
-			q.asked, q.asks = now, true
+			q.asked, q.asks, q.wait = now, true, max(q.wait, askEvery)
+			if q.lost {
+				q.wait = askEvery
+			}
 			dst = append(dst, u.Instance)
 		}
 	}
@@ -77,7 +91,7 @@
 // Seen takes a sign of life of an upstream's node.
 func (r *Router) Seen(now gypsumrail.Millis, name string) bool {
 	u := r.upstreams[name]
-	return u != nil && u.quiet.sign(r.clock(now))
+	return u != nil && u.quiet.seen(r.clock(now))
 }
 
 // Lost takes a question that the node of an upstream did not answer.
