Record and replay nodes for plain requests

Their events could not be replayed: the trace had neither the records in force, which come in the platform's form, nor a mark of the decision parts. The stream begins with both values now, the status and the header of the trace say Plain, and the replay takes the same parts as the sidecar. Their assembly moves from the fx providers to setup.NewPlain so that there is one of it; no decision changes.

--- a/internal/cmds/verbs/record.go
+++ b/internal/cmds/verbs/record.go
@@ -164,7 +164,7 @@
 	buffered := bufio.NewWriter(t)
 	self := status.Node.Self
 	writer, err := trace.NewWriter(buffered, trace.Header{
-		Kind: trace.KindNode, Name: "recorded-" + self.Name, Self: self, Records: json.RawMessage(t.plan.set),
+		Kind: trace.KindNode, Name: "recorded-" + self.Name, Self: self, Plain: status.Node.Plain, Records: json.RawMessage(t.plan.set),
 	})
 	if err != nil {
 		return err
@@ -174,7 +174,10 @@
 	err = t.plan.client.Events(ctx, func(event *gypsumrail.Event) bool {
 		if !t.first {
 			t.first = true
-			t.context(event.At, status)
+			// The stream of a node for plain requests begins with what it knew.
+			if !status.Node.Plain {
+				t.context(event.At, status)
+			}
 		}
 		t.plan.mask.Event(event)
 		t.put(event)
--- a/internal/lab/replay/node.go
+++ b/internal/lab/replay/node.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/lab/policy"
 	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 )
 
 // NodeResult is what one node did with a recorded stream of events.
@@ -19,14 +20,10 @@
 	Hash     uint64 // of all effects, for comparing two versions of the decisions
 }
 
-// RunNode replays the events of a Node trace with the parts of policy full.
+// RunNode replays the events of a Node trace with the parts of policy full, or
+// with those of a node for plain requests.
 func RunNode(file *trace.File) *NodeResult {
-	records := file.Records
-	if records == nil {
-		records = &gypsumrail.Records{}
-	}
-	full := policy.Full()
-	node := core.New(full.Settings, full.Parts(file.Header.Self, records))
+	node := nodeOf(file)
 	result := &NodeResult{Effects: map[gypsumrail.EffectKind]int{}, Refusals: map[gypsumrail.Reason]int{}}
 	digest := xxhash.New()
 	encoder := json.NewEncoder(digest)
@@ -44,3 +41,15 @@
 	result.Hash = digest.Sum64()
 	return result
 }
+
+func nodeOf(file *trace.File) *core.Node {
+	if file.Header.Plain {
+		return setup.NewPlainNode(file.Header.Self, setup.PlainSettings{})
+	}
+	records := file.Records
+	if records == nil {
+		records = &gypsumrail.Records{}
+	}
+	full := policy.Full()
+	return core.New(full.Settings, full.Parts(file.Header.Self, records))
+}
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -35,6 +35,7 @@
 	RecordsFile   string              `json:",omitempty"` // record set, as a path relative to the trace
 	Records       json.RawMessage     `json:",omitempty"` // record set inline, instead of RecordsFile
 	Self          gypsumrail.Instance `json:",omitzero"`  // Node: the instance whose events follow
+	Plain         bool                `json:",omitempty"` // Node: it serves plain requests
 	Delays        Delays              `json:",omitzero"`  // Scenario
 	Trigger       Span                `json:",omitzero"`  // Scenario: the cause of the overload, for the recovery time
 	Outcomes      []Outcome           `json:",omitempty"` // Scenario
--- a/internal/node/admin/client.go
+++ b/internal/node/admin/client.go
@@ -29,6 +29,7 @@
 type Node struct {
 	core.Status
 	SchemaMax int                          // highest schema version of records that the node knows
+	Plain     bool                         `json:",omitempty"` // the node serves plain requests
 	Refusals  map[gypsumrail.Reason]uint64 // calls that ended without an answer of a target, since the start
 }
 
--- a/internal/node/build/node.go
+++ b/internal/node/build/node.go
@@ -205,10 +205,8 @@
 	Values    gypsumrail.Values
 }
 
-func newReducer(d decisions, force *inForce) *core.Node { return newNode(core.Settings{}, d, force) }
-
-func newNode(settings core.Settings, d decisions, force *inForce) *core.Node {
-	node := core.New(settings, core.Parts{
+func newReducer(d decisions, force *inForce) *core.Node {
+	node := core.New(core.Settings{}, core.Parts{
 		Limiter: d.Limiter, Queue: d.Queue, Shedder: d.Shedder, Router: d.Router,
 		Budget: d.Budget, Ledger: d.Ledger, Directory: d.Directory, Values: d.Values,
 	})
--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -12,13 +12,8 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/admin"
 	"github.com/gypsumrail/gypsumrail/internal/node/meter"
 	"github.com/gypsumrail/gypsumrail/internal/node/relay"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
-	"github.com/gypsumrail/gypsumrail/limit"
-	"github.com/gypsumrail/gypsumrail/member"
-	"github.com/gypsumrail/gypsumrail/queue"
-	"github.com/gypsumrail/gypsumrail/retry"
-	"github.com/gypsumrail/gypsumrail/route"
-	"github.com/gypsumrail/gypsumrail/shed"
 )
 
 // RelaySettings are the settings of a node for plain requests. They are valid:
@@ -36,20 +31,6 @@
 	DrainMax   gypsumrail.Millis // longest drain
 }
 
-const (
-	// gossipAway is how often a node that cannot read the platform asks a peer.
-	gossipAway = 300 * gypsumrail.Millis(1)
-	// zoneFactor keeps calls in their zone while its targets are not far more loaded
-	// or slower than those of others; bytes between zones cost more than all else.
-	zoneFactor = 2
-	// quietAfter is beyond the times of a message between zones and of a busy
-	// process that is scheduled late, about 10 and 50 ms.
-	quietAfter = 100 * gypsumrail.Millis(1)
-	// leavingTime is how long a node that drains gets no calls. Its process is back
-	// after about that time; a target that leaves is told by the list.
-	leavingTime = 2 * gypsumrail.Second
-)
-
 // Relay is an assembled node for plain requests.
 type Relay struct {
 	*relay.Relay
@@ -62,8 +43,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, settings.Settings),
 		fx.Provide(
-			newClock, newLogger, meter.New, newSelf, newRelayShedder, newLedger, newValues, newRecords,
-			newRelayLimiter, newRelayQueue, newRelayBudget, newListed, newRelayRouter,
+			newClock, newLogger, meter.New, newSelf, newRecords,
 			newRelayReducer, newRelayParts, newRelayListeners, newRelay,
 		),
 		fx.Populate(&n.Relay),
@@ -75,45 +55,23 @@
 	return n, nil
 }
 
-// newRelayLimiter takes the slots of the list, where each target states its own,
-// and leaves some free on targets that slow down when they are nearly full.
-func newRelayLimiter() gypsumrail.Limiter { return limit.NewHeadroom() }
-
-// newRelayShedder takes the shedder for services whose callers refuse for them.
-func newRelayShedder() gypsumrail.Shedder { return shed.NewBacklog(shed.Settings{}) }
-
-// newestFirstFrom is the queue delay from which the newest call runs first, beyond
-// the time limits of all classes. Entries refuse for deep services, so what waits
-// there was admitted, and working it off in turn lets more of it finish in time.
-// Work invested does not count either: requests that go to the target at once have
-// none and would starve behind the calls of longer chains.
-const newestFirstFrom = 30 * gypsumrail.Second
-
-func newRelayQueue(m *meter.Meter) gypsumrail.Queue {
-	return m.Queue(queue.New(queue.Settings{Target: newestFirstFrom, InTurn: true}))
-}
-
-func newRelayBudget(settings RelaySettings) gypsumrail.Budget {
-	return retry.New(retry.Settings{Share: settings.RetryShare, Burst: settings.RetryBurst})
-}
-
-func newListed(self gypsumrail.Instance) gypsumrail.Directory { return member.NewListed(self) }
-
-func newRelayRouter(self gypsumrail.Instance, force *inForce) gypsumrail.Router {
-	return route.New(self, route.Settings{Tuning: force.tuning, LeavingTime: leavingTime, ZoneFactor: zoneFactor, QuietAfter: quietAfter})
-}
-
-func newRelayReducer(settings RelaySettings, d decisions, force *inForce) *core.Node {
-	return newNode(core.Settings{
-		GossipEvery: -1, GossipAway: gossipAway, FreeRefusals: true, KeepChildren: true, ServeDraining: true,
+// newRelayReducer is the reducer with the parts of a node for plain requests.
+func newRelayReducer(settings RelaySettings, self gypsumrail.Instance, m *meter.Meter, force *inForce) *core.Node {
+	plain := setup.PlainSettings{
+		Tuning: force.tuning, RetryShare: settings.RetryShare, RetryBurst: settings.RetryBurst,
 		DrainMin: settings.DrainMin, DrainMax: settings.DrainMax,
-	}, d, force)
+	}
+	parts := setup.NewPlain(self, plain)
+	parts.Queue = m.Queue(parts.Queue)
+	node := core.New(setup.PlainCore(plain), parts)
+	force.records = node.Records
+	return node
 }
 
 func newRelayParts(settings RelaySettings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) relay.Parts {
 	return relay.Parts{
 		Reducer: m.Watch(node),
-		Status:  func() any { return admin.Node{Status: node.Status(), Refusals: m.Refusals()} },
+		Status:  func() any { return admin.Node{Status: node.Status(), Plain: true, Refusals: m.Refusals()} },
 		Store:   settings.Store, Catalog: settings.Catalog, Logger: logger, Meter: m, Metrics: m, Clock: clock,
 	}
 }
--- a/internal/node/events/stream.go
+++ b/internal/node/events/stream.go
@@ -93,8 +93,9 @@
 // Dropped returns the lines that readers missed.
 func (s *Stream) Dropped() uint64 { return s.dropped.Load() }
 
-// Serve writes the events as JSON lines until the client leaves.
-func (s *Stream) Serve(c *gin.Context) {
+// Serve writes the events as JSON lines until the client leaves. The first ones
+// are those by which a reader learns what the node knew before.
+func (s *Stream) Serve(c *gin.Context, first func() []gypsumrail.Event) {
 	reader, ok := s.Open()
 	if !ok {
 		c.String(http.StatusServiceUnavailable, "too many readers\n")
@@ -103,6 +104,16 @@
 	defer s.Leave(reader)
 	c.Header("Content-Type", "application/jsonl")
 	c.Status(http.StatusOK)
+	for _, event := range first() {
+		line, err := json.Marshal(&event)
+		if err != nil {
+			s.dropped.Add(1)
+			continue
+		}
+		if _, err := c.Writer.Write(append(line, '\n')); err != nil {
+			return
+		}
+	}
 	c.Writer.Flush()
 	for {
 		select {
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -137,7 +137,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", r.ready)
 	router.GET("/status", r.status)
-	router.GET("/events", r.stream.Serve)
+	router.GET("/events", func(c *gin.Context) { r.stream.Serve(c, r.known) })
 	if r.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(r.parts.Metrics))
 	}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -84,25 +84,26 @@
 	parts     Parts
 	listeners *Listeners
 
-	base    context.Context // of all work that outlives a connection
-	cancel  context.CancelFunc
-	stopped chan struct{} // closed by the Stop effect
-	peers   *pool.Pool
-	targets *pool.Pool
-	control *peer.Client
-	quiet   *link.Pool
-	values  *feed.Store
-	lines   *events.Log
-	stream  *events.Stream
-	limit   chan struct{} // control messages under way
-	records atomic.Pointer[gypsumrail.Records]
-	listed  atomic.Bool
-	away    atomic.Bool // the platform cannot be read
-	leaving atomic.Bool
-	held    atomic.Int64 // bytes of large bodies
-	behind  atomic.Bool  // a stamp of a peer told of newer values, which are about to be fetched
-	conns   connSet
-	applied sync.Mutex // orders the values that are offered to the reducer
+	base      context.Context // of all work that outlives a connection
+	cancel    context.CancelFunc
+	stopped   chan struct{} // closed by the Stop effect
+	peers     *pool.Pool
+	targets   *pool.Pool
+	control   *peer.Client
+	quiet     *link.Pool
+	values    *feed.Store
+	lines     *events.Log
+	stream    *events.Stream
+	limit     chan struct{} // control messages under way
+	records   atomic.Pointer[gypsumrail.Records]
+	instances atomic.Pointer[listed]
+	listed    atomic.Bool
+	away      atomic.Bool // the platform cannot be read
+	leaving   atomic.Bool
+	held      atomic.Int64 // bytes of large bodies
+	behind    atomic.Bool  // a stamp of a peer told of newer values, which are about to be fetched
+	conns     connSet
+	applied   sync.Mutex // orders the values that are offered to the reducer
 
 	mu       sync.Mutex // serializes steps and guards what follows
 	random   *rand.Rand
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -124,9 +124,18 @@
 		return
 	}
 	r.post(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Value: version, Instances: list, Peer: from})
+	if r.values.Revision(gypsumrail.ValueInstances) == revision {
+		r.instances.Store(&listed{version, list})
+	}
 	r.listed.Store(true)
 }
 
+// listed is a list of instances in force.
+type listed struct {
+	version   gypsumrail.ValueVersion
+	instances []gypsumrail.Instance
+}
+
 // controlAddress returns where a node answers control messages: the port behind
 // that of its calls.
 func controlAddress(calls string) string {
@@ -209,3 +218,17 @@
 	}
 	r.offerInstances(list, version.Revision, content, from)
 }
+
+// known returns the events that give a replay the values in force. The form in
+// which the platform has them is not known there.
+func (r *Relay) known() []gypsumrail.Event {
+	now := r.parts.Clock.Now()
+	var known []gypsumrail.Event
+	if value, ok := r.values.Current(gypsumrail.ValueRecords); ok {
+		known = append(known, gypsumrail.Event{Kind: gypsumrail.RecordsRead, At: now, Value: value.Version, Records: r.records.Load()})
+	}
+	if list := r.instances.Load(); list != nil {
+		known = append(known, gypsumrail.Event{Kind: gypsumrail.InstancesRead, At: now, Value: list.version, Instances: list.instances})
+	}
+	return known
+}
