--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -96,7 +96,7 @@
 	stream    *events.Stream
 	limit     chan struct{} // control messages under way
 	records   atomic.Pointer[gypsumrail.Records]
-	instances atomic.Pointer[listed]
+	instances atomic.Pointer[instanceList]
 	listed    atomic.Bool
 	away      atomic.Bool // the platform cannot be read
 	leaving   atomic.Bool
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -125,13 +125,13 @@
 	}
 	r.post(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Value: version, Instances: list, Peer: from})
 	if r.values.Revision(gypsumrail.ValueInstances) == revision {
-		r.instances.Store(&listed{version, list})
+		r.instances.Store(&instanceList{version, list})
 	}
 	r.listed.Store(true)
 }
 
-// listed is a list of instances in force.
-type listed struct {
+// instanceList is a list of instances in force.
+type instanceList struct {
 	version   gypsumrail.ValueVersion
 	instances []gypsumrail.Instance
 }
