Close the ports of an ended node before Run returns

Cause: a server that is shut down before its goroutine has begun to serve does not know its listener and closes it only later. A node that was ended right after its start left its ports open for a moment, and its next run could not open them.

Ruled out: another process (each test process has a loopback address of its own), and connections of the node before (their local ports are above 32767).

--- a/internal/node/shell/listen.go
+++ b/internal/node/shell/listen.go
@@ -78,7 +78,7 @@
 	return l, nil
 }
 
-// Close closes the ports of a node that was not started.
+// Close closes the ports.
 func (l *Listeners) Close() {
 	for _, opened := range []net.Listener{l.callers, l.egress, l.peers, l.admin} {
 		if opened != nil {
@@ -154,6 +154,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
 	s.stream.Close()
+	// A server that has not begun to serve yet does not know its listener.
+	s.listeners.Close()
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			_ = server.Close()
