Step the reducer of both kinds of nodes in one place

shell and relay each had the step with its clock, random numbers, tick after a pause, stream of events and slow ticks at rest; package drive has them now, and the effects stay where they are performed. Slow ticks come every 34 ms in both, in place of 34 and 50. setup.Node replaces the providers of single parts and the second way to find the records in force for the router. No decision changes; the tests of pauses, rest and events run as before, the one of pauses with a clock of its own.

--- a/internal/node/build/node.go
+++ b/internal/node/build/node.go
@@ -15,16 +15,10 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/admin"
 	"github.com/gypsumrail/gypsumrail/internal/node/meter"
 	"github.com/gypsumrail/gypsumrail/internal/node/notice"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
-	"github.com/gypsumrail/gypsumrail/internal/node/values"
-	"github.com/gypsumrail/gypsumrail/ledger"
-	"github.com/gypsumrail/gypsumrail/limit"
-	"github.com/gypsumrail/gypsumrail/member"
-	"github.com/gypsumrail/gypsumrail/queue"
 	"github.com/gypsumrail/gypsumrail/record"
-	"github.com/gypsumrail/gypsumrail/retry"
 	"github.com/gypsumrail/gypsumrail/route"
-	"github.com/gypsumrail/gypsumrail/shed"
 )
 
 // Node is an assembled node. It is safe for concurrent use.
@@ -45,8 +39,7 @@
 		fx.Supply(settings),
 		fx.Provide(
 			newClock, newInstance, newListeners, newAddresses, newLogger, meter.New,
-			newLimiter, newQueue, newShedder, newBudget, newLedger, newDirectory, newValues,
-			newRecords, newRouter, newReducer, newParts, newShell,
+			newReducer, newParts, newShell,
 		),
 		fx.Populate(&n.shell, &n.ports, &n.self),
 		fx.Invoke(n.run),
@@ -155,63 +148,20 @@
 	})
 }
 
-func newLimiter() gypsumrail.Limiter { return limit.New(limit.Settings{}) }
-func newShedder() gypsumrail.Shedder { return shed.New(shed.Settings{}) }
-func newBudget() gypsumrail.Budget   { return retry.New(retry.Settings{}) }
-func newValues() gypsumrail.Values   { return values.New(values.Settings{}) }
-
-func newQueue(m *meter.Meter) gypsumrail.Queue { return m.Queue(queue.New(queue.Settings{})) }
-
-func newLedger(self gypsumrail.Instance) gypsumrail.Ledger {
-	return ledger.New(self, ledger.Settings{})
-}
-
-func newDirectory(self gypsumrail.Instance) gypsumrail.Directory {
-	return member.New(self, member.Settings{})
-}
-
-// inForce is where the router finds the records in force, of which the reducer
-// tells it only the upstreams. The reducer sets it up after the router.
-type inForce struct{ records func() *gypsumrail.Records }
-
-func newRecords() *inForce { return &inForce{} }
-
-// tuning returns what the records in force say of a service.
-func (f *inForce) tuning(name string) route.Tuning {
-	if f.records == nil || f.records() == nil {
-		return route.Tuning{}
-	}
-	service := f.records().Services[name]
-	if service == nil {
-		return route.Tuning{}
-	}
-	return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
-}
-
-func newRouter(self gypsumrail.Instance, force *inForce) gypsumrail.Router {
-	return route.New(self, route.Settings{Tuning: force.tuning})
-}
-
-type decisions struct {
-	fx.In
-
-	Limiter   gypsumrail.Limiter
-	Queue     gypsumrail.Queue
-	Shedder   gypsumrail.Shedder
-	Router    gypsumrail.Router
-	Budget    gypsumrail.Budget
-	Ledger    gypsumrail.Ledger
-	Directory gypsumrail.Directory
-	Values    gypsumrail.Values
+func newReducer(self gypsumrail.Instance, m *meter.Meter) *core.Node {
+	return reducerOf(core.Settings{}, m, func(tuning setup.Tuning) core.Parts {
+		return setup.New(self, setup.Settings{Route: route.Settings{Tuning: tuning}})
+	})
 }
 
-func newReducer(d decisions, force *inForce) *core.Node {
-	node := core.New(core.Settings{}, core.Parts{
-		Limiter: d.Limiter, Queue: d.Queue, Shedder: d.Shedder, Router: d.Router,
-		Budget: d.Budget, Ledger: d.Ledger, Directory: d.Directory, Values: d.Values,
+// reducerOf makes a reducer whose queue is measured and whose router takes the
+// values of each service from the records in force.
+func reducerOf(settings core.Settings, m *meter.Meter, partsOf func(setup.Tuning) core.Parts) *core.Node {
+	return setup.Node(settings, func(tuning setup.Tuning) core.Parts {
+		parts := partsOf(tuning)
+		parts.Queue = m.Queue(parts.Queue)
+		return parts
 	})
-	force.records = node.Records
-	return node
 }
 
 func newParts(settings Settings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) shell.Parts {
--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -43,7 +43,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, settings.Settings),
 		fx.Provide(
-			newClock, newLogger, meter.New, newSelf, newRecords,
+			newClock, newLogger, meter.New, newSelf,
 			newRelayReducer, newRelayParts, newRelayListeners, newRelay,
 		),
 		fx.Populate(&n.Relay),
@@ -56,16 +56,14 @@
 }
 
 // newRelayReducer is the reducer with the parts of a node for plain requests.
-func newRelayReducer(settings RelaySettings, self gypsumrail.Instance, m *meter.Meter, force *inForce) *core.Node {
+func newRelayReducer(settings RelaySettings, self gypsumrail.Instance, m *meter.Meter) *core.Node {
 	plain := setup.PlainSettings{
-		Tuning: force.tuning, RetryShare: settings.RetryShare, RetryBurst: settings.RetryBurst,
-		DrainMin: settings.DrainMin, DrainMax: settings.DrainMax,
+		RetryShare: settings.RetryShare, RetryBurst: settings.RetryBurst, DrainMin: settings.DrainMin, DrainMax: settings.DrainMax,
 	}
-	parts := setup.NewPlain(self, plain)
-	parts.Queue = m.Queue(parts.Queue)
-	node := core.New(setup.PlainCore(plain), parts)
-	force.records = node.Records
-	return node
+	return reducerOf(setup.PlainCore(plain), m, func(tuning setup.Tuning) core.Parts {
+		plain.Tuning = tuning
+		return setup.NewPlain(self, plain)
+	})
 }
 
 func newRelayParts(settings RelaySettings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) relay.Parts {
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -96,7 +96,7 @@
 	c.id = r.nextCall()
 	r.calls[c.id] = c
 	conn := c.conn
-	r.rest(false)
+	r.drive.Rest(false)
 	r.link(c)
 	arrival := c.arrival
 	r.step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: c.id, Arrival: &arrival})
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -137,7 +137,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", r.ready)
 	router.GET("/status", r.status)
-	router.GET("/events", func(c *gin.Context) { r.stream.Serve(c, r.known) })
+	router.GET("/events", func(c *gin.Context) { r.drive.Events().Serve(c, r.known) })
 	if r.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(r.parts.Metrics))
 	}
@@ -154,7 +154,7 @@
 		Node  any
 		Shell admin.Shell
 	}{node, admin.Shell{
-		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.away.Load(), LinesDropped: r.lines.Dropped(), EventsDropped: r.stream.Dropped(),
+		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.away.Load(), LinesDropped: r.lines.Dropped(), EventsDropped: r.drive.Events().Dropped(),
 		RecordsInForce: r.revision(),
 	}})
 	r.mu.Unlock()
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -21,14 +21,13 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/drive"
 	"github.com/gypsumrail/gypsumrail/internal/node/events"
 	"github.com/gypsumrail/gypsumrail/internal/node/feed"
 	"github.com/gypsumrail/gypsumrail/internal/node/link"
@@ -51,12 +50,6 @@
 	servedMax  = 32
 	// controlConns bounds the connections for control messages to one peer.
 	controlConns = 2
-	// tickEvery and restEvery are the times between ticks with and without calls.
-	tickEvery = 10 * time.Millisecond
-	restEvery = 50 * time.Millisecond
-	// pauseGap is the time without a tick from which the process counts as having
-	// been paused; the reducer then rechecks what it held before anything else.
-	pauseGap = gypsumrail.Second / 2
 )
 
 // Settings of a relay.
@@ -68,7 +61,7 @@
 
 // Parts are what a relay needs besides its settings.
 type Parts struct {
-	Reducer shell.Reducer
+	Reducer drive.Reducer
 	Status  func() any // what /status shows; called between two steps
 	Store   gypsumrail.Store
 	Catalog gypsumrail.Catalog
@@ -93,7 +86,6 @@
 	quiet     *link.Pool
 	values    *feed.Store
 	lines     *events.Log
-	stream    *events.Stream
 	limit     chan struct{} // control messages under way
 	records   atomic.Pointer[gypsumrail.Records]
 	instances atomic.Pointer[instanceList]
@@ -106,40 +98,33 @@
 	applied   sync.Mutex // orders the values that are offered to the reducer
 
 	mu       sync.Mutex // serializes steps and guards what follows
-	random   *rand.Rand
-	lastTick gypsumrail.Millis
+	drive    *drive.Driver
 	lastCall gypsumrail.CallID
 	calls    map[gypsumrail.CallID]*call
 	running  map[string]*call // on the own target, by identity of the request
 	waiters  map[gypsumrail.CallID]chan gypsumrail.Exchange
 	out      []delivery
 	next     []gypsumrail.Event // that follow from the present one
-	ticker   *time.Ticker
-	resting  bool
 	stopping bool
 }
 
 // New returns a relay for open listeners. Run starts it.
 func New(settings Settings, parts Parts, listeners *Listeners) *Relay {
-	var seed [32]byte
-	_, _ = cryptorand.Read(seed[:]) // never fails
 	base, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		settings: settings, parts: parts, listeners: listeners,
 		base: base, cancel: cancel, stopped: make(chan struct{}),
 		peers: pool.New(peerIdle), targets: pool.New(targetIdle), quiet: link.NewPool(),
-		values: feed.NewStore(), stream: events.NewStream(), limit: make(chan struct{}, controlMax),
-		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only
+		values: feed.NewStore(), limit: make(chan struct{}, controlMax),
 		calls:   make(map[gypsumrail.CallID]*call),
 		running: make(map[string]*call),
 		waiters: make(map[gypsumrail.CallID]chan gypsumrail.Exchange),
-		ticker:  time.NewTicker(tickEvery),
 	}
 	r.conns.open = make(map[*conn]struct{})
 	r.lines = events.NewLog(parts.Logger, shell.NoticeLinesDropped)
 	r.quiet.SetConns(controlConns)
 	r.control = peer.NewClient(r.quiet, link.NewFresh())
-	r.lastTick = parts.Clock.Now()
+	r.drive = drive.New(parts.Reducer, parts.Clock, r.perform, parts.Meter.Stepped)
 	return r
 }
 
@@ -155,7 +140,7 @@
 	case <-r.stopped:
 	case <-ctx.Done():
 	}
-	r.stream.Close()
+	r.drive.Close()
 	r.listeners.close()
 	for _, server := range servers {
 		_ = server.Close()
@@ -188,11 +173,10 @@
 }
 
 func (r *Relay) tick() {
-	defer r.ticker.Stop()
 	swept := time.Now()
 	for {
 		select {
-		case now := <-r.ticker.C:
+		case now := <-r.drive.Ticks():
 			r.post(&gypsumrail.Event{Kind: gypsumrail.Tick})
 			if now.Sub(swept) >= sweepEvery {
 				swept = now
@@ -204,16 +188,3 @@
 		}
 	}
 }
-
-// rest slows the ticks down while no calls are held, or brings them back.
-func (r *Relay) rest(on bool) {
-	if r.resting == on {
-		return
-	}
-	r.resting = on
-	if on {
-		r.ticker.Reset(restEvery)
-	} else {
-		r.ticker.Reset(tickEvery)
-	}
-}
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
@@ -50,35 +48,16 @@
 
 // step takes an event and those that follow from it.
 func (r *Relay) step(event *gypsumrail.Event) {
-	now := r.parts.Clock.Now()
-	if event.Kind != gypsumrail.Tick && now-r.lastTick > pauseGap {
-		r.stepOne(now, &gypsumrail.Event{Kind: gypsumrail.Tick})
-	}
-	r.stepOne(now, event)
+	r.drive.Step(event)
 	for len(r.next) > 0 {
 		follows := r.next[0]
 		r.next = r.next[1:]
-		r.stepOne(now, &follows)
+		r.drive.Step(&follows)
 	}
 	r.next = r.next[:0]
 	if event.Kind == gypsumrail.Tick {
-		r.rest(len(r.calls) == 0)
-	}
-}
-
-func (r *Relay) stepOne(now gypsumrail.Millis, event *gypsumrail.Event) {
-	began := time.Now()
-	if event.Kind == gypsumrail.Tick {
-		r.lastTick = now
-	}
-	event.At = now
-	event.Random = r.random.Uint64()
-	r.stream.Publish(event)
-	effects := r.parts.Reducer.Step(event)
-	for i := range effects {
-		r.perform(now, &effects[i])
+		r.drive.Rest(len(r.calls) == 0)
 	}
-	r.parts.Meter.Stepped(event.Kind, time.Since(began))
 }
 
 // perform starts what an effect asks for. It must neither wait nor step.
--- a/internal/node/setup/parts.go
+++ b/internal/node/setup/parts.go
@@ -41,24 +41,30 @@
 	}
 }
 
+// Tuning returns the values of a service for its router.
+type Tuning = func(service string) route.Tuning
+
 // NewNode returns a node whose router takes the values of each service from the
 // records in force.
 func NewNode(self gypsumrail.Instance, node core.Settings, settings Settings) *core.Node {
-	var n *core.Node
-	if settings.Route.Tuning == nil {
-		settings.Route.Tuning = func(service string) route.Tuning { return tuning(n, service) }
-	}
-	n = core.New(node, New(self, settings))
-	return n
+	return Node(node, func(tuning Tuning) core.Parts {
+		if settings.Route.Tuning == nil {
+			settings.Route.Tuning = tuning
+		}
+		return New(self, settings)
+	})
 }
 
-func tuning(n *core.Node, name string) route.Tuning {
-	if n == nil || n.Records() == nil {
-		return route.Tuning{}
-	}
-	service := n.Records().Services[name]
-	if service == nil {
-		return route.Tuning{}
-	}
-	return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
+// Node returns a node with parts that need the records in force, which only the
+// node knows.
+func Node(settings core.Settings, partsOf func(Tuning) core.Parts) *core.Node {
+	var n *core.Node
+	n = core.New(settings, partsOf(func(name string) route.Tuning {
+		if n == nil || n.Records() == nil || n.Records().Services[name] == nil {
+			return route.Tuning{}
+		}
+		service := n.Records().Services[name]
+		return route.Tuning{ColdStart: service.ColdStart, ZoneDelay: service.ZoneDelay}
+	}))
+	return n
 }
--- a/internal/node/setup/plain.go
+++ b/internal/node/setup/plain.go
@@ -16,7 +16,7 @@
 // PlainSettings are what differs between nodes for plain requests. Zero values
 // take the defaults of the parts.
 type PlainSettings struct {
-	Tuning     func(service string) route.Tuning
+	Tuning     Tuning
 	RetryShare float64           // retries of a service per success
 	RetryBurst int               // retries of a service that can be saved up
 	DrainMin   gypsumrail.Millis // shortest drain, in which clients notice that the node leaves
@@ -73,8 +73,8 @@
 // NewPlainNode returns a node for plain requests whose router takes the values of
 // each service from the records in force.
 func NewPlainNode(self gypsumrail.Instance, settings PlainSettings) *core.Node {
-	var n *core.Node
-	settings.Tuning = func(service string) route.Tuning { return tuning(n, service) }
-	n = core.New(PlainCore(settings), NewPlain(self, settings))
-	return n
+	return Node(PlainCore(settings), func(tuning Tuning) core.Parts {
+		settings.Tuning = tuning
+		return NewPlain(self, settings)
+	})
 }
--- a/internal/node/shell/accept.go
+++ b/internal/node/shell/accept.go
@@ -120,7 +120,7 @@
 	k := &sink{id: c.id, call: c, mail: make(chan message, 1)}
 	c.sink = k
 	s.calls[c.id] = c
-	s.rest(false)
+	s.drive.Rest(false)
 	if c.arrival.Origin == gypsumrail.FromPeer {
 		s.noteSender(parsed.Sender)
 	}
--- a/internal/node/shell/admin.go
+++ b/internal/node/shell/admin.go
@@ -32,7 +32,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", s.readyz)
 	router.GET("/status", s.status)
-	router.GET("/events", func(c *gin.Context) { s.stream.Serve(c, func() []gypsumrail.Event { return nil }) })
+	router.GET("/events", func(c *gin.Context) { s.drive.Events().Serve(c, func() []gypsumrail.Event { return nil }) })
 	if s.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(s.parts.Metrics))
 	}
@@ -62,7 +62,7 @@
 	}{node, admin.Shell{
 		Calls: len(s.calls), Answers: s.kept.Len(),
 		Ready:    s.ready.adopted.Load() && !s.ready.draining.Load(),
-		Watching: s.watching != nil, LinesDropped: s.lines.Dropped(), EventsDropped: s.stream.Dropped(),
+		Watching: s.watching != nil, LinesDropped: s.lines.Dropped(), EventsDropped: s.drive.Events().Dropped(),
 		RecordsInForce: s.store.Revision(gypsumrail.ValueRecords),
 	}})
 	s.mu.Unlock()
--- a/internal/node/shell/listen.go
+++ b/internal/node/shell/listen.go
@@ -153,7 +153,7 @@
 func (s *Shell) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
-	s.stream.Close()
+	s.drive.Close()
 	// A server that has not begun to serve yet does not know its listener.
 	s.listeners.Close()
 	for _, server := range s.servers {
--- a/internal/node/shell/node_test.go
+++ b/internal/node/shell/node_test.go
@@ -165,6 +165,11 @@
 	t.Error("the stream ended without the event")
 }
 
+// steppedClock shows the time that a test sets.
+type steppedClock struct{ now gypsumrail.Millis }
+
+func (c *steppedClock) Now() gypsumrail.Millis { return c.now }
+
 // Guards against an event that reaches the reducer after a pause before it knows of the pause.
 func TestPauseIsNoticedFirst(t *testing.T) {
 	var order []gypsumrail.EventKind
@@ -172,8 +177,9 @@
 		order = append(order, e.Kind)
 		return nil, true
 	}}
-	s := New(Settings{}, Parts{Reducer: n, Logger: quietLogger{}, Meter: quietMeter{}, Clock: clock{time.Now().Add(-time.Hour)}}, nil)
-	s.lastTick = 1
+	paused := &steppedClock{now: 1}
+	s := New(Settings{}, Parts{Reducer: n, Logger: quietLogger{}, Meter: quietMeter{}, Clock: paused}, nil)
+	paused.now = gypsumrail.Minute
 	s.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
 	s.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
 	if len(order) != 3 || order[0] != gypsumrail.Tick {
--- a/internal/node/shell/ports.go
+++ b/internal/node/shell/ports.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/drive"
 	"github.com/gypsumrail/gypsumrail/internal/node/events"
 )
 
 // Reducer makes the decisions. The shell calls it from one goroutine at a time.
-type Reducer interface {
-	Step(event *gypsumrail.Event) []gypsumrail.Effect
-}
+type Reducer = drive.Reducer
 
 // Logger takes the numbered log events. The shell calls it from one goroutine.
 type Logger = events.Logger
--- a/internal/node/shell/shell.go
+++ b/internal/node/shell/shell.go
@@ -14,14 +14,12 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
-	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/cache"
+	"github.com/gypsumrail/gypsumrail/internal/node/drive"
 	"github.com/gypsumrail/gypsumrail/internal/node/events"
 	"github.com/gypsumrail/gypsumrail/internal/node/feed"
 	"github.com/gypsumrail/gypsumrail/internal/node/link"
@@ -68,15 +66,13 @@
 	store   *feed.Store
 	buffers *link.Buffers
 	lines   *events.Log
-	stream  *events.Stream
 	limit   chan struct{} // control messages under way
 	ready   readiness
 	applied sync.Mutex     // orders the values that are offered to the reducer
 	servers []*http.Server // in the order of newServers
 
 	mu       sync.Mutex // serializes steps and guards what follows
-	random   *rand.Rand
-	lastTick gypsumrail.Millis
+	drive    *drive.Driver
 	lastCall gypsumrail.CallID
 	calls    map[gypsumrail.CallID]*call
 	tokens   map[string]*call
@@ -85,36 +81,30 @@
 	self     gypsumrail.Instance
 	kept     *cache.Answers
 	watching context.CancelFunc // nil while the platform is not watched
-	ticker   *time.Ticker
-	resting  bool // ticks are slow because the node holds no calls
 	stopping bool
 }
 
 // New returns a shell for open listeners. Run starts it.
 func New(settings Settings, parts Parts, listeners *Listeners) *Shell {
-	var seed [32]byte
-	_, _ = cryptorand.Read(seed[:]) // never fails
 	base, cancel := context.WithCancel(context.Background())
 	s := &Shell{
 		settings: settings, parts: parts, listeners: listeners,
 		base: base, cancel: cancel, stopped: make(chan struct{}),
 		targets: link.NewPool(), peers: link.NewPoolVia(settings.Dial), quiet: link.NewPoolVia(settings.Dial),
 		store: feed.NewStore(), buffers: link.NewBuffers(buffersMax),
-		stream: events.NewStream(), limit: make(chan struct{}, controlMax),
-		random:  rand.New(rand.NewChaCha8(seed)), //nolint:gosec // decisions only; tokens use crypto/rand
+		limit:   make(chan struct{}, controlMax),
 		calls:   make(map[gypsumrail.CallID]*call),
 		tokens:  make(map[string]*call),
 		waiters: make(map[gypsumrail.CallID]chan gypsumrail.Effect),
 		seen:    make(map[string]gypsumrail.Instance),
 		self:    settings.Self,
 		kept:    cache.New(),
-		ticker:  time.NewTicker(tickEvery),
 	}
 	s.lines = events.NewLog(parts.Logger, NoticeLinesDropped)
 	s.quiet.SetConns(quietConnsMax)
 	s.control = peer.NewClient(s.quiet, link.NewFreshVia(settings.Dial))
 	s.feed = feed.NewClient(settings.Platform, s.quiet)
-	s.lastTick = parts.Clock.Now()
+	s.drive = drive.New(parts.Reducer, parts.Clock, s.perform, parts.Meter.Stepped)
 	s.servers = s.newServers()
 	return s
 }
@@ -158,41 +148,16 @@
 	s.lines.Close()
 }
 
-const (
-	// tickEvery is the time between two ticks while the node holds calls.
-	tickEvery = 10 * time.Millisecond
-	// restEvery is the time between two ticks while it holds none, because waking
-	// up every 10 ms was two thirds of the processor time of an idle node. Three of
-	// them are just over 100 ms, so the threshold falls as fast as under load.
-	restEvery = 34 * time.Millisecond
-)
-
 func (s *Shell) tick() {
-	defer s.ticker.Stop()
 	for {
 		select {
-		case <-s.ticker.C:
+		case <-s.drive.Ticks():
 			s.mu.Lock()
 			s.step(&gypsumrail.Event{Kind: gypsumrail.Tick})
-			s.rest(len(s.calls) == 0)
+			s.drive.Rest(len(s.calls) == 0)
 			s.mu.Unlock()
 		case <-s.base.Done():
 			return
 		}
 	}
 }
-
-// rest slows the ticks down or brings them back. It resets the ticker only on a
-// change: a reset with each call would put the next tick off for as long as
-// calls keep coming.
-func (s *Shell) rest(on bool) {
-	if s.resting == on {
-		return
-	}
-	s.resting = on
-	if on {
-		s.ticker.Reset(restEvery)
-	} else {
-		s.ticker.Reset(tickEvery)
-	}
-}
--- a/internal/node/shell/step.go
+++ b/internal/node/shell/step.go
@@ -2,16 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/gypsumrail/gypsumrail"
 )
 
-// pauseGap is the time without a tick from which the process counts as having
-// been paused. The reducer then gets a tick before any other event, so that it
-// rechecks what it held before it acts on what waited in the sockets.
-const pauseGap = gypsumrail.Second / 2
-
 // post gives one event to the reducer and performs the effects.
 func (s *Shell) post(event *gypsumrail.Event) {
 	s.mu.Lock()
@@ -20,28 +14,7 @@
 }
 
 // step is post for callers that hold the mutex.
-func (s *Shell) step(event *gypsumrail.Event) {
-	now := s.parts.Clock.Now()
-	if event.Kind != gypsumrail.Tick && now-s.lastTick > pauseGap {
-		s.stepAt(now, &gypsumrail.Event{Kind: gypsumrail.Tick})
-	}
-	s.stepAt(now, event)
-}
-
-func (s *Shell) stepAt(now gypsumrail.Millis, event *gypsumrail.Event) {
-	began := time.Now()
-	if event.Kind == gypsumrail.Tick {
-		s.lastTick = now
-	}
-	event.At = now
-	event.Random = s.random.Uint64()
-	s.stream.Publish(event)
-	effects := s.parts.Reducer.Step(event)
-	for i := range effects {
-		s.perform(now, &effects[i])
-	}
-	s.parts.Meter.Stepped(event.Kind, time.Since(began))
-}
+func (s *Shell) step(event *gypsumrail.Event) { s.drive.Step(event) }
 
 // perform starts what an effect asks for. It must neither wait nor step.
 func (s *Shell) perform(now gypsumrail.Millis, e *gypsumrail.Effect) {
