--- a/internal/lab/fleet/helper_test.go
+++ b/internal/lab/fleet/helper_test.go
@@ -9,17 +9,15 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/spawn"
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/build"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
@@ -40,32 +38,7 @@
 	if *inside {
 		return ""
 	}
-	program := filepath.Join(t.TempDir(), "gypsumrail")
-	command := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../../cmd/gypsumrail")
-	if output, err := command.CombinedOutput(); err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
-	}
-	return program
-}
-
-// lastPort is the port that was given out last. Ports are below the range from
-// which the kernel takes those of outgoing connections.
-var lastPort = 10000 + rand.IntN(15000)
-
-// port returns a free loopback address that was not given out before.
-func port(t testing.TB) string {
-	t.Helper()
-	for range 1000 {
-		lastPort++
-		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	return spawn.Build(t)
 }
 
 // node is one node of a measurement.
@@ -77,7 +50,7 @@
 
 func prepare(t testing.TB, name, service, zone string) *node {
 	t.Helper()
-	n := &node{ports: shell.Addresses{Callers: port(t), Egress: port(t), Peers: port(t), Admin: port(t)}}
+	n := &node{ports: shell.Addresses{Callers: spawn.Port(t), Egress: spawn.Port(t), Peers: spawn.Port(t), Admin: spawn.Port(t)}}
 	n.instance = gypsumrail.Instance{Name: name, Service: service, Zone: zone, Address: n.ports.Peers, State: gypsumrail.Live}
 	return n
 }
--- a/internal/lab/proc/fleet_test.go
+++ b/internal/lab/proc/fleet_test.go
@@ -5,18 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/spawn"
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
@@ -27,38 +25,6 @@
 
 var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 
-// build builds the program once for a test.
-func build(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "gypsumrail")
-	command := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../../cmd/gypsumrail")
-	if output, err := command.CombinedOutput(); err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
-	}
-	return program
-}
-
-// lastPort is the port that was given out last. Ports are below the range from
-// which the kernel takes those of outgoing connections, so that none of them
-// takes a port before its node opens it.
-var lastPort = 10000 + rand.IntN(10000)
-
-// port returns a free loopback address that was not given out before.
-func port(t *testing.T) string {
-	t.Helper()
-	for range 1000 {
-		lastPort++
-		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // instance is one node process with its target.
 type instance struct {
 	name, service, zone           string
@@ -82,7 +48,7 @@
 // newFleet starts 3 services in 2 zones and waits until all nodes know each other.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, program: build(t)}
+	f := &fleet{t: t, program: spawn.Build(t)}
 	var err error
 	if f.platform, err = stubs.NewPlatform(""); err != nil {
 		t.Fatal(err)
@@ -116,7 +82,7 @@
 func (f *fleet) prepare(service, zone string, calls []string) *instance {
 	i := &instance{
 		name: service + "-" + zone, service: service, zone: zone,
-		callers: port(f.t), egress: port(f.t), peers: port(f.t), admin: port(f.t),
+		callers: spawn.Port(f.t), egress: spawn.Port(f.t), peers: spawn.Port(f.t), admin: spawn.Port(f.t),
 	}
 	target, err := stubs.NewTarget(stubs.TargetSettings{
 		Name: i.name, Slots: 32, ServiceTime: 2 * time.Millisecond, Egress: i.egress, Calls: calls, AnswerBytes: 2000,
