Log which instances an adopted list adds and drops

The line has the revision and up to eight names of each kind of change. Its number, and those of upstreams lost and back, are written up to 20 times a second like the ones about single requests. The test of the detail fails without it.

--- a/core/adopt_test.go
+++ b/core/adopt_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -54,3 +55,37 @@
 		}
 	}
 }
+
+// Guards against a log that does not tell which instances came and left.
+func TestAdoptedList(t *testing.T) {
+	self := gypsumrail.Instance{Name: "s-1", Service: "s", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live}
+	parts := setup.New(self, setup.Settings{})
+	parts.Directory = member.NewListed(self)
+	n := core.New(core.Settings{GossipEvery: -1}, parts)
+	var got []string
+	for i, names := range [][]string{{"a", "b"}, {"a", "-b", "c"}, {"a"}, {"a", "d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9"}, {"a"}} {
+		var instances []gypsumrail.Instance
+		for _, name := range names {
+			instance := gypsumrail.Instance{Name: strings.TrimPrefix(name, "-"), Service: "s", Zone: "z", Address: "127.0.0.1:2", State: gypsumrail.Live}
+			if instance.Name != name {
+				instance.State = gypsumrail.Leaving
+			}
+			instances = append(instances, instance)
+		}
+		for _, e := range n.Step(&gypsumrail.Event{
+			Kind: gypsumrail.InstancesRead, At: 10, Instances: instances,
+			Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: gypsumrail.Revision(i + 1)},
+		}) {
+			if e.Kind == gypsumrail.Log {
+				got = append(got, e.Detail)
+			}
+		}
+	}
+	want := []string{
+		"Revision=1 Added=a,b", "Revision=2 Added=c Leaving=b", "Revision=3 Gone=b,c",
+		"Revision=4 Added=d0,d1,d2,d3,d4,d5,d6,d7,+2", "Revision=5 Gone=d0,d1,d2,d3,d4,d5,d6,d7,+2",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("details (-want +got): %s", diff)
+	}
+}
--- a/core/bootstrap.go
+++ b/core/bootstrap.go
@@ -14,7 +14,7 @@
 // while the class uses other services than the own. A call that ran here would
 // fail at its first outgoing call, while other nodes can serve it.
 func (n *Node) bootstrapping(class *gypsumrail.Class) bool {
-	if n.listed && n.records != nil || n.now-n.clocks.began >= bootstrapMax {
+	if n.listed != nil && n.records != nil || n.now-n.clocks.began >= bootstrapMax {
 		return false
 	}
 	if n.records == nil {
--- a/core/config.go
+++ b/core/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/gypsumrail/gypsumrail"
 )
@@ -11,6 +12,7 @@
 	if event.Records == nil || !n.adopt(event) {
 		return
 	}
+	n.adopted(event, "")
 	n.records = event.Records
 	n.dropSplits()
 	n.dropUses()
@@ -20,9 +22,10 @@
 // instancesRead merges the platform's list of instances.
 func (n *Node) instancesRead(event *gypsumrail.Event) {
 	if n.adopt(event) {
+		n.adopted(event, n.listed.changes(event.Instances))
+		n.listed = listOf(event.Instances)
 		n.parts.Directory.MergeList(n.now, event.Instances)
 		n.setUpstreams()
-		n.listed = true
 	}
 }
 
@@ -48,11 +51,18 @@
 	}
 	n.defaults = false
 	n.emit(gypsumrail.Effect{Kind: gypsumrail.Adopt, Value: event.Value})
-	n.notice(gypsumrail.NoticeRevisionAdopted, string(event.Value.Name), gypsumrail.ReasonNone)
+	return true
+}
+
+// adopted logs what an adopted value changed and tells peers of it.
+func (n *Node) adopted(event *gypsumrail.Event, changes string) {
+	n.emit(gypsumrail.Effect{
+		Kind: gypsumrail.Log, Notice: gypsumrail.NoticeRevisionAdopted, Subject: string(event.Value.Name),
+		Detail: "Revision=" + strconv.FormatUint(uint64(event.Value.Revision), 10) + changes,
+	})
 	if n.settings.GossipEvery > 0 {
 		n.announce(event)
 	}
-	return true
 }
 
 // announce tells some peers of an adopted value. Where all nodes watch the
--- a/core/core.go
+++ b/core/core.go
@@ -76,7 +76,7 @@
 	reader     bool
 	defaults   bool
 	clocks     clocks
-	listed     bool                // the list of instances was read
+	listed     list                // the list of instances that was read last; nil before
 	away       bool                // reads of the platform fail
 	splits     map[string]*split   // by class
 	uses       map[string]*uses    // by class
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -43,7 +43,7 @@
 		n.askQuiet()
 	}
 	every := n.settings.GossipEvery
-	if n.away || !n.listed || n.records == nil {
+	if n.away || n.listed == nil || n.records == nil {
 		every = n.settings.GossipAway
 	}
 	if every > 0 && n.now-n.clocks.gossip >= every {
--- a/effect.go
+++ b/effect.go
@@ -55,6 +55,7 @@
 	On          bool         `json:",omitempty"`
 	Notice      Notice       `json:",omitempty"`
 	Subject     string       `json:",omitempty"`
+	Detail      string       `json:",omitempty"` // Log: what else decided it, as Name=value
 }
 
 // Notice numbers a log event. The catalogue is in docs/events.md.
--- a/internal/node/notice/logger.go
+++ b/internal/node/notice/logger.go
@@ -10,6 +10,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,15 +27,18 @@
 	perSecond = 1
 )
 
-// Rate limit of the numbers about single requests, which are found by the
-// identity of the request. Twenty lines a second cost a thousandth of a core.
+// Rate limit of the numbers whose lines stand for one thing each: a request, a
+// change of a value, an upstream. Twenty lines a second cost a thousandth of a core.
 const (
-	requestBurst     = 50
-	requestPerSecond = 20
-	requestFirst     = gypsumrail.Notice(2401)
-	requestLast      = gypsumrail.Notice(2405)
+	singleBurst     = 50
+	singlePerSecond = 20
 )
 
+// single are these numbers.
+var single = []gypsumrail.Notice{
+	gypsumrail.NoticeRevisionAdopted, gypsumrail.NoticeUpstreamLost, gypsumrail.NoticeUpstreamBack, 2401, 2402, 2403, 2404, 2405,
+}
+
 // Settings of a log.
 type Settings struct {
 	Node      string        // name of the instance, on every line
@@ -76,8 +80,8 @@
 }
 
 func newLimit(number gypsumrail.Notice) *limit {
-	if number >= requestFirst && number <= requestLast {
-		return &limit{tokens: rate.NewLimiter(requestPerSecond, requestBurst)}
+	if slices.Contains(single, number) {
+		return &limit{tokens: rate.NewLimiter(singlePerSecond, singleBurst)}
 	}
 	return &limit{tokens: rate.NewLimiter(perSecond, burst)}
 }
--- a/internal/node/notice/table.go
+++ b/internal/node/notice/table.go
@@ -34,7 +34,7 @@
 // the shell's package depends on sockets that a log does not need.
 var entries = []Entry{
 	{gypsumrail.NoticeRevisionAdopted, "RevisionAdopted", log.InfoLevel, "revision adopted",
-		"a newer valid revision of the value in `Subject` is in force", "nothing"},
+		"a newer valid revision of the value in `Subject` is in force; of the list, `Detail` names up to 8 instances that came (`Added`), began to leave (`Leaving`) and are no longer listed (`Gone`)", "nothing"},
 	{gypsumrail.NoticeRevisionIgnored, "RevisionIgnored", log.WarnLevel, "revision ignored",
 		"a revision of the value in `Subject` is not newer than the one in force, or far ahead of it",
 		"publish with a higher revision; if the platform serves old revisions, look at the platform"},
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -86,7 +86,7 @@
 	case gypsumrail.Adopt:
 		r.values.Adopt(e.Value)
 	case gypsumrail.Log:
-		r.lines.Put(e.Notice, e.Subject, e.Reason, "")
+		r.lines.Put(e.Notice, e.Subject, e.Reason, e.Detail)
 	case gypsumrail.Stop:
 		if !r.stopping {
 			r.stopping = true
--- a/internal/node/shell/step.go
+++ b/internal/node/shell/step.go
@@ -55,7 +55,7 @@
 		if e.Notice == gypsumrail.NoticeDefaultsInUse {
 			s.ready.adopt()
 		}
-		s.lines.Put(e.Notice, e.Subject, e.Reason, "")
+		s.lines.Put(e.Notice, e.Subject, e.Reason, e.Detail)
 	case gypsumrail.Stop:
 		if !s.stopping {
 			s.stopping = true
