--- a/core/attempts.go
+++ b/core/attempts.go
@@ -195,7 +195,7 @@
 // ended for the reason.
 func isRetryable(reason gypsumrail.Reason) bool {
 	switch reason {
-	case gypsumrail.ReasonUnknownName, gypsumrail.ReasonTooDeep, gypsumrail.ReasonDeadline,
+	case gypsumrail.ReasonUnknownName, gypsumrail.ReasonInvalidClass, gypsumrail.ReasonTooDeep, gypsumrail.ReasonDeadline,
 		gypsumrail.ReasonKeyExpired, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonKeyDone,
 		gypsumrail.ReasonKeyRequired, gypsumrail.ReasonKeyRefused, gypsumrail.ReasonHomeGone,
 		gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded:
--- a/core/chain_test.go
+++ b/core/chain_test.go
@@ -103,3 +103,13 @@
 		t.Errorf("%d attempts were sent, want 2", sends)
 	}
 }
+
+// Guards against a class with an unusable definition whose calls are forwarded, end
+// with an outcome other than NotRun, or count as unknown, which clients never retry.
+func TestInvalidClass(t *testing.T) {
+	entry := plainNode(t, gypsumrail.Class{Invalid: true, Route: gypsumrail.Route{Host: "h", Prefix: "/"}})
+	got := arrive(entry, 1, 10)
+	if got.Kind != gypsumrail.Refuse || got.Outcome != gypsumrail.NotRun || got.Reason != gypsumrail.ReasonInvalidClass {
+		t.Errorf("got %+v, want the call refused as NotRun with InvalidClass", got)
+	}
+}
--- a/core/plain.go
+++ b/core/plain.go
@@ -21,6 +21,9 @@
 // request that it belongs to.
 func (n *Node) initPlainOutgoingCall(s *senderCall, parent *receiverCall, class *gypsumrail.Class) gypsumrail.Reason {
 	s.class = class
+	if class.Invalid {
+		return gypsumrail.ReasonInvalidClass
+	}
 	s.service = n.partFor(class)
 	if !n.knowsService(s.service) {
 		return gypsumrail.ReasonUnknownName
--- a/core/send.go
+++ b/core/send.go
@@ -62,6 +62,9 @@
 	if !ok {
 		return gypsumrail.ReasonUnknownName
 	}
+	if class.Invalid {
+		return gypsumrail.ReasonInvalidClass
+	}
 	if s.service == "" {
 		s.service = n.partFor(class)
 	}
--- a/internal/node/meter/labels.go
+++ b/internal/node/meter/labels.go
@@ -131,7 +131,7 @@
 		gypsumrail.ReasonHomeGone, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonSilent,
 		gypsumrail.ReasonBroken, gypsumrail.ReasonConnect, gypsumrail.ReasonCallerGone,
 		gypsumrail.ReasonSuperseded, gypsumrail.ReasonTooDeep,
-		gypsumrail.ReasonTargetBusy, gypsumrail.ReasonMisdirected, gypsumrail.ReasonTimeout,
+		gypsumrail.ReasonTargetBusy, gypsumrail.ReasonMisdirected, gypsumrail.ReasonTimeout, gypsumrail.ReasonInvalidClass,
 		wire.ReasonMalformed, wire.ReasonHeadersTooLong, wire.ReasonBodyTooLong, wire.ReasonBusy,
 	)
 )
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -75,13 +75,25 @@
 	r.mu.Lock()
 	r.step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Value: version, Records: records, Peer: from})
 	if r.values.Revision(gypsumrail.ValueRecords) == records.Revision {
-		r.records.Store(records)
+		if old := r.records.Swap(records); old == nil || old.Revision != records.Revision {
+			r.logFaults(records, from)
+		}
 	}
 	out := r.takeDeliveries()
 	r.mu.Unlock()
 	writeReplies(out, nil)
 }
 
+// recordsFaultsLogged bounds the log lines about the faults of one revision.
+const recordsFaultsLogged = 16
+
+// logFaults logs the faults of records that came into force.
+func (r *Relay) logFaults(records *gypsumrail.Records, from gypsumrail.Instance) {
+	for _, fault := range records.Faults[:min(len(records.Faults), recordsFaultsLogged)] {
+		r.log.Put(shell.NoticeRecordsFault, from.Name, gypsumrail.ReasonNone, fault)
+	}
+}
+
 // newInstancesHandler returns a function that decodes the platform's items into an
 // instance list and offers it to the reducer. It leaves out invalid items and logs
 // each invalid revision of an item once.
--- a/internal/node/shell/parts.go
+++ b/internal/node/shell/parts.go
@@ -25,6 +25,7 @@
 	NoticePlatformAway      gypsumrail.Notice = 2103 // a read from the platform failed, the first one in a row
 	NoticePlatformBack      gypsumrail.Notice = 2104 // a read from the platform succeeded after one that failed
 	NoticePullFailed        gypsumrail.Notice = 2105 // a value could not be fetched from a peer
+	NoticeRecordsFault      gypsumrail.Notice = 2106 // a part of the records in force is not usable
 	NoticeServerFault       gypsumrail.Notice = 2201 // a server or listener reported an error, or an effect is of an unsupported kind
 	NoticeForeignAnswer     gypsumrail.Notice = 2202 // a peer's answer belonged to another attempt or was malformed
 	NoticeSecondSignal      gypsumrail.Notice = 2301 // a second signal ended the process at once
--- a/internal/node/wire/problem.go
+++ b/internal/node/wire/problem.go
@@ -54,6 +54,7 @@
 	gypsumrail.ReasonTargetBusy:   {http.StatusServiceUnavailable, "The target refused the request without running it"},
 	gypsumrail.ReasonMisdirected:  {http.StatusServiceUnavailable, "Another instance has the address"},
 	gypsumrail.ReasonTimeout:      {http.StatusGatewayTimeout, "The longest wait of the class is over"},
+	gypsumrail.ReasonInvalidClass: {http.StatusServiceUnavailable, "The definition of the class is not usable"},
 }
 
 // StatusOf returns the HTTP status for a reason. For an unknown reason, which a
--- a/names.go
+++ b/names.go
@@ -87,4 +87,5 @@
 	ReasonTargetBusy   Reason = "TargetBusy"   // the target itself refused the call without running it
 	ReasonMisdirected  Reason = "Misdirected"  // another instance has the address of the intended one
 	ReasonTimeout      Reason = "Timeout"      // the longest wait that the class allows is over
+	ReasonInvalidClass Reason = "InvalidClass" // the definition of the class in the records in force is not usable
 )
--- a/records.go
+++ b/records.go
@@ -10,6 +10,7 @@
 	Classes  map[string]*Class
 	Tenants  map[string]*Tenant
 	Limits   Limits                       // for plain clients; zero fields stand for the defaults
+	Faults   []string                     // definitions that are in force only in part or not at all, with the reasons
 	Routes   map[string]map[string]*Class `json:"-"` // by host and prefix, built by IndexRoutes
 }
 
@@ -61,6 +62,7 @@
 	Objective       Millis              // latency up to which an answer has its full value; 0 if unknown
 	Route           Route               // selects the plain requests of the class
 	Split           []Part              // services that share the calls; empty if Service gets all
+	Invalid         bool                // its definition is not usable: its calls are refused as NotRun; see Records.Faults
 }
 
 // Route selects plain requests, which are unmodified HTTP/1.1 requests without a
