Read the platform's store through one node a zone

Change: in each zone the first of the live instances by a hash reads the store; the others watch its copy (new control message Read), then that of the second, then the store. A node that is asked turns to the store, so no node is appointed and a wrong ranking costs calls only. A copy is served while the store confirmed it within 1 s, up to the revision up to which it is complete; a listing of a peer that is behind is refused. Changes that follow each other within 100 ms arrive together. Entries are decoded once a revision, and the list is encoded only when a peer pulls it.

--- a/internal/lab/slope/loopback.go
+++ b/internal/lab/slope/loopback.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		panic(err)
 	}
-	l := &loopback{addr: listener.Addr().String(), server: &http.Server{Handler: peer.NewServer(handler, 8)}}
+	l := &loopback{addr: listener.Addr().String(), server: &http.Server{Handler: peer.NewServer(handler, nil, 8)}}
 	l.pool = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
--- a/internal/node/fetch/fetch.go
+++ b/internal/node/fetch/fetch.go
@@ -34,10 +34,28 @@
 	ErrTooLong = errors.New("the value is longer than 1 MB")
 )
 
-// Value is one version of a platform value with its content.
+// Value is one version of a platform value with its content. If Encode is set, there
+// is no content until a peer asks for it.
 type Value struct {
 	Version gypsumrail.ValueVersion
 	Content []byte
+	Encode  func() ([]byte, error)
+}
+
+// Encoded returns the value with its content in the form of peer.Compress, and with
+// the hash of the content in its version.
+func (v Value) Encoded() (Value, error) {
+	if v.Encode == nil {
+		return v, nil
+	}
+	content, err := v.Encode()
+	if err != nil {
+		return Value{}, fmt.Errorf("encode %s: %w", v.Version.Name, err)
+	}
+	v.Version.Hash = peer.HashOf(content)
+	v.Encode = nil
+	v.Content, err = peer.Compress(content)
+	return v, err //nolint:wrapcheck // the error of Compress says what failed
 }
 
 // Client reads values over HTTP. It is safe for concurrent use.
@@ -87,5 +105,5 @@
 		return Value{}, false, fmt.Errorf("%w: %s at revision %d", ErrTooLong, name, revision)
 	}
 	version := gypsumrail.ValueVersion{Name: name, Revision: gypsumrail.Revision(revision), Hash: peer.HashOf(content)}
-	return Value{version, content}, gypsumrail.Revision(revision) > after, nil
+	return Value{Version: version, Content: content}, gypsumrail.Revision(revision) > after, nil
 }
--- a/internal/node/fetch/fetch_test.go
+++ b/internal/node/fetch/fetch_test.go
@@ -116,8 +116,8 @@
 // the version in force before it is adopted.
 func TestStore(t *testing.T) {
 	store := NewStore()
-	first := Value{gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1, Hash: 1}, []byte("one")}
-	second := Value{gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 2, Hash: 2}, []byte("two")}
+	first := Value{Version: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1, Hash: 1}, Content: []byte("one")}
+	second := Value{Version: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 2, Hash: 2}, Content: []byte("two")}
 	_ = store.Offer(first)
 	if store.Adopt(second.Version) {
 		t.Error("a version that was not offered was adopted")
--- a/internal/node/fetch/store.go
+++ b/internal/node/fetch/store.go
@@ -28,14 +28,17 @@
 // the content, which takes milliseconds, so that Adopt does not have to. It returns an
 // error only if compression fails.
 func (s *Store) Offer(value Value) error {
-	compressed, err := peer.Compress(value.Content)
-	if err != nil {
-		return fmt.Errorf("offer %s: %w", value.Version.Name, err)
+	if value.Encode == nil {
+		compressed, err := peer.Compress(value.Content)
+		if err != nil {
+			return fmt.Errorf("offer %s: %w", value.Version.Name, err)
+		}
+		value.Content = compressed
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, known := s.offered[value.Version.Name]; known || len(s.offered) < valuesMax {
-		s.offered[value.Version.Name] = Value{value.Version, compressed}
+		s.offered[value.Version.Name] = value
 	}
 	return nil
 }
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -1,6 +1,8 @@
-// Package mirror keeps copies of parts of the platform's store up to date.
+// Package mirror keeps copies of parts of the platform's store up to date, and serves
+// them to peers.
 //
-// It lists each part and then watches for changes. One watch covers all parts:
+// It lists each part and then watches for changes, at the store or at a peer that
+// does; package source decides which. One watch covers all parts:
 // its prefix is the longest one that they have in common, which may be empty. So a
 // node has one pending call at the store while nothing changes.
 //
@@ -11,15 +13,16 @@
 package mirror
 
 import (
-	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/source"
 )
 
 const (
@@ -35,8 +38,17 @@
 	// must be in force after an outage.
 	pauseMin = 20 * time.Millisecond
 	pauseMax = 500 * time.Millisecond
-	// itemsMax bounds the copy of one part. The design size is 640 instances.
-	itemsMax = 16384
+	// peerPause is the pause after a failure of a peer, from the peerFailuresMax-th in a
+	// row on. By then all sources have failed.
+	peerPause       = 100 * time.Millisecond
+	peerFailuresMax = 3
+	// peerWaitMax is the longest wait of a read from a peer. With responseTimeoutMin and
+	// the reads from the next sources, a change that a frozen peer does not pass on
+	// arrives within 1.5 s.
+	peerWaitMax = 800 * time.Millisecond
+	// settleTime is the pause after a read that returned changes. Changes that follow
+	// each other closely, as at the start of a fleet, then arrive together.
+	settleTime = 100 * time.Millisecond
 )
 
 // Part is a set of items, those below a prefix, with the function that receives them.
@@ -54,35 +66,54 @@
 // succeed again.
 type Contact func(err error)
 
-// Follower lists and watches the items of its parts.
+// Settings are the sources of a Follower.
+type Settings struct {
+	Store   gypsumrail.Store
+	Peers   func(address string) gypsumrail.Store // the copy of a peer
+	Sources *source.Chooser                       // nil: the store only
+	Clock   gypsumrail.Clock
+	// Wait is the longest wait of a watch at the store. Each one waits for a random
+	// time between its half and Wait. A shorter wait costs more calls. A longer one
+	// delays the detection of changes that a watch missed. The random part makes the
+	// watches of a fleet end at different times, so that some node soon detects a
+	// change that all watches missed.
+	Wait    time.Duration
+	Contact Contact
+}
+
+// Follower lists and watches the items of its parts. Its methods other than Run are
+// safe for concurrent use. It implements gypsumrail.Store for peers.
 type Follower struct {
-	store   gypsumrail.Store
-	prefix  string        // common to all parts
-	wait    time.Duration // longest waiting time of a watch
-	contact Contact
-	parts   []*partCopy
+	settings Settings
+	clock    gypsumrail.Clock
+	prefix   string // common to all parts
 
-	revision        uint64        // the next watch reads the changes after it
-	responseTimeout time.Duration // current one, beyond the waiting time
-	listed          bool          // false: the next read is a listing
-	unreachable     bool          // reads fail, as reported to contact
-}
+	// These belong to the goroutine of Run.
+	responseTimeout time.Duration // of the store, beyond the waiting time
+	unreachable     bool          // reads fail, as reported to Contact
+	storeFailed     bool          // a read from the store failed since the last success
+	peerFailed      bool          // likewise from a peer
 
-// partCopy is the copy of one part.
-type partCopy struct {
-	Part
-	items      map[string]gypsumrail.Item
-	lastChange uint64 // revision
+	mu         sync.Mutex // guards the fields below
+	sources    *source.Chooser
+	parts      []*partCopy
+	revision   uint64             // the next watch reads the changes after it
+	listed     bool               // false: the next read is a listing
+	confirmed  time.Time          // last successful read from the store itself
+	storeLost  bool               // the last read from the store itself failed
+	cancelRead context.CancelFunc // ends the current read from a peer, or nil
+	changed    chan struct{}      // closed by signal
 }
 
-// New returns a follower of parts whose prefixes do not overlap. Each watch waits
-// for a random time between half of wait and wait. A shorter wait costs more calls.
-// A longer one delays the detection of changes that a watch missed. The random part
-// makes the watches of a fleet end at different times, so that some node soon
-// detects a change that all watches missed. The functions of the parts and contact
-// are called on the goroutine of Run.
-func New(store gypsumrail.Store, wait time.Duration, contact Contact, parts ...Part) *Follower {
-	f := &Follower{store: store, wait: wait, contact: contact}
+var _ gypsumrail.Store = (*Follower)(nil)
+
+// New returns a follower of parts whose prefixes do not overlap. The functions of the
+// parts and Contact are called on the goroutine of Run.
+func New(settings Settings, parts ...Part) *Follower {
+	f := &Follower{settings: settings, clock: settings.Clock, sources: settings.Sources, changed: make(chan struct{})}
+	if f.sources == nil {
+		f.sources = source.New("", "")
+	}
 	for i, part := range parts {
 		if i == 0 {
 			f.prefix = part.Prefix
@@ -102,57 +133,159 @@
 	return a[:n]
 }
 
+// SetInstances tells which instances there are, so that their nodes can be read from.
+func (f *Follower) SetInstances(list []gypsumrail.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.SetInstances(list)
+}
+
 // Run lists and watches the parts until ctx ends. A dropped history leads to a new
-// listing at once, any other error to a retry after a backoff.
+// listing at once, a failure of a peer to a read from the next source, and a failure
+// of the store to a retry after a backoff.
 func (f *Follower) Run(ctx context.Context) {
-	pause := pauseMin
+	pause, failures := pauseMin, 0
 	f.responseTimeout = responseTimeoutMin
 	for ctx.Err() == nil {
-		err := f.readNext(ctx)
+		from, changes, err := f.readNext(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
-		case err == nil:
-			pause = pauseMin
-			f.responseTimeout = responseTimeoutMin
-			f.report(nil)
-		case errors.Is(err, gypsumrail.ErrHistoryGone):
-			f.listed = false
-		default:
-			f.report(err)
-			f.responseTimeout = min(2*f.responseTimeout, responseTimeoutMax)
+		case err != nil && from != "":
+			if failures++; failures >= peerFailuresMax {
+				sleep(ctx, peerPause)
+			}
+		case err != nil && f.storeFailed:
 			sleep(ctx, pause)
 			pause = min(2*pause, pauseMax)
+		case err != nil:
+		default:
+			pause, failures = pauseMin, 0
+			if changes {
+				sleep(ctx, settleTime)
+			}
 		}
 	}
 }
 
-// report calls contact with the first failure and with the first success after it.
+// report calls Contact with the first failure and with the first success after it.
 func (f *Follower) report(err error) {
 	if unreachable := err != nil; unreachable != f.unreachable {
 		f.unreachable = unreachable
-		f.contact(err)
+		f.settings.Contact(err)
 	}
 }
 
-// readNext makes one listing of all parts, or one watch if they are listed.
-func (f *Follower) readNext(ctx context.Context) error {
-	if !f.listed {
-		return f.list(ctx)
+// readNext makes one listing of all parts, or one watch if they are listed. It returns
+// the source, empty for the store, and whether there were changes.
+func (f *Follower) readNext(ctx context.Context) (from string, changes bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	from = f.sources.Next(f.clock.Now())
+	listed := f.listed
+	if from != "" {
+		f.cancelRead = cancel
+	}
+	f.mu.Unlock()
+	store := f.settings.Store
+	if from != "" {
+		store = f.settings.Peers(from)
+	}
+	if listed {
+		changes, err = f.watch(ctx, store, from)
+	} else {
+		changes, err = true, f.list(ctx, store, from)
+	}
+	f.mu.Lock()
+	f.cancelRead = nil
+	f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.succeeded(from)
+	case ctx.Err() != nil: // asked ended the read, or Run ends
+	case errors.Is(err, gypsumrail.ErrHistoryGone):
+		f.mu.Lock()
+		f.listed = false
+		f.mu.Unlock()
+	default:
+		f.failed(from, err)
+	}
+	return from, changes, err
+}
+
+// succeeded records a read from a source.
+func (f *Follower) succeeded(from string) {
+	f.storeFailed, f.peerFailed = false, false
+	f.mu.Lock()
+	f.sources.Succeeded(from)
+	if from == "" {
+		f.responseTimeout = responseTimeoutMin
+		wake := !f.confirmedLocked()
+		f.confirmed, f.storeLost = time.Now(), false
+		if wake {
+			f.signal()
+		}
+	}
+	f.mu.Unlock()
+	f.report(nil)
+}
+
+// failed records that a read from a source failed. The platform counts as unreachable
+// when neither the store nor a peer could be read.
+func (f *Follower) failed(from string, err error) {
+	f.mu.Lock()
+	f.sources.Failed(f.clock.Now(), from)
+	alone := !f.sources.HasReaders()
+	if from == "" && !f.storeLost {
+		f.storeLost = true
+		f.signal()
+	}
+	f.mu.Unlock()
+	if from == "" {
+		f.storeFailed = true
+		f.responseTimeout = min(2*f.responseTimeout, responseTimeoutMax)
+	} else {
+		f.peerFailed = true
 	}
-	wait := f.wait/2 + rand.N(f.wait/2+1) //nolint:gosec // spreads load; needs no secure randomness
-	if f.unreachable {
-		wait = 0 // a watch that waits would delay the report that the store is back
+	if f.storeFailed && (f.peerFailed || alone) {
+		f.report(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.responseTimeout)
+}
+
+// timeout returns how long a source may take to answer beyond the time that it waits.
+func (f *Follower) timeout(from string) time.Duration {
+	if from != "" {
+		return responseTimeoutMin
+	}
+	return f.responseTimeout
+}
+
+// waitOf returns the waiting time of the next watch at a source.
+func (f *Follower) waitOf(from string) time.Duration {
+	if f.unreachable || from == "" && f.storeFailed {
+		return 0 // a watch that waits would delay the report that the platform is back
+	}
+	wait := f.settings.Wait
+	if from != "" {
+		wait = min(wait, peerWaitMax)
+	}
+	return wait/2 + rand.N(wait/2+1) //nolint:gosec // spreads load; needs no secure randomness
+}
+
+// watch reads the changes since the last read and reports whether there were any.
+func (f *Follower) watch(ctx context.Context, store gypsumrail.Store, from string) (bool, error) {
+	wait := f.waitOf(from)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout(from))
 	defer cancel()
-	changes, err := f.store.Changes(ctx, f.prefix, f.revision, wait)
+	changes, err := store.Changes(ctx, f.prefix, f.revision, wait)
 	if err != nil {
-		return err //nolint:wrapcheck // the store's errors are this package's own
+		return false, err //nolint:wrapcheck // the store's errors are this package's own
 	}
 	// Report the contact before the copy is delivered: the receiver treats items that
 	// were removed during an outage differently.
 	f.report(nil)
+	f.mu.Lock()
 	changed := make([]bool, len(f.parts))
 	for i := range changes.List {
 		change := &changes.List[i]
@@ -168,22 +301,28 @@
 	// new listing follows.
 	if len(changes.List) > 0 {
 		f.revision = max(f.revision, changes.Revision)
+		f.signal()
 	}
+	f.mu.Unlock()
 	for j, part := range f.parts {
 		if changed[j] {
 			part.deliver()
 		}
 	}
-	return nil
+	return len(changes.List) > 0, nil
 }
 
+// errBehind means that a peer's copy is older than the own one.
+var errBehind = errors.New("the peer's copy is older than this node's")
+
 // list lists all parts. The watch continues from the revision of the first page, so
-// it also reads the changes that happen during the listing.
-func (f *Follower) list(ctx context.Context) error {
+// it also reads the changes that happen during the listing. A listing of a peer that is
+// behind the own copy fails, as it would bring back what was removed.
+func (f *Follower) list(ctx context.Context, store gypsumrail.Store, from string) error {
 	revision := uint64(0)
 	lists := make([]map[string]gypsumrail.Item, len(f.parts))
 	for i, part := range f.parts {
-		items, first, err := f.listPart(ctx, part.Prefix)
+		items, first, err := f.listPart(ctx, store, from, part.Prefix)
 		if err != nil {
 			return err
 		}
@@ -192,21 +331,29 @@
 			revision = first
 		}
 	}
+	if from != "" && revision < f.revision {
+		return fmt.Errorf("%w: %w", gypsumrail.ErrStoreUnavailable, errBehind)
+	}
 	f.report(nil)
+	f.mu.Lock()
 	f.revision, f.listed = revision, true
 	for i, part := range f.parts {
 		part.replace(lists[i], revision)
+	}
+	f.signal()
+	f.mu.Unlock()
+	for _, part := range f.parts {
 		part.deliver()
 	}
 	return nil
 }
 
 // listPart reads all pages of a part and returns the revision of the first one.
-func (f *Follower) listPart(ctx context.Context, prefix string) (map[string]gypsumrail.Item, uint64, error) {
+func (f *Follower) listPart(ctx context.Context, store gypsumrail.Store, from, prefix string) (map[string]gypsumrail.Item, uint64, error) {
 	items := make(map[string]gypsumrail.Item)
 	revision, after := uint64(0), ""
 	for {
-		page, err := f.page(ctx, prefix, after)
+		page, err := f.page(ctx, store, from, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -225,53 +372,15 @@
 	}
 }
 
-func (f *Follower) page(ctx context.Context, prefix, after string) (gypsumrail.Items, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.responseTimeout)
+func (f *Follower) page(ctx context.Context, store gypsumrail.Store, from, prefix, after string) (gypsumrail.Items, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout(from))
 	defer cancel()
-	return f.store.List(ctx, prefix, after) //nolint:wrapcheck // as in readNext
-}
-
-// replace sets the items to those of a listing. A listing does not say when a missing
-// item was removed, so the revision of the listing then counts as the last change.
-func (p *partCopy) replace(items map[string]gypsumrail.Item, revision uint64) {
-	for key := range p.items {
-		if _, ok := items[key]; !ok {
-			p.lastChange = revision
-		}
-	}
-	for _, item := range items {
-		p.lastChange = max(p.lastChange, item.Revision)
-	}
-	p.items = items
+	return store.List(ctx, prefix, after) //nolint:wrapcheck // as in watch
 }
 
-// apply applies one change and reports whether the copy changed. A change that a later
-// page of the listing already contained comes again and is dropped.
-func (p *partCopy) apply(change *gypsumrail.Item) bool {
-	p.lastChange = max(p.lastChange, change.Revision)
-	known, ok := p.items[change.Key]
-	switch {
-	case ok && known.Revision >= change.Revision:
-		return false
-	case change.Removed:
-		delete(p.items, change.Key)
-		return ok
-	case !ok && len(p.items) >= itemsMax:
-		return false
-	}
-	p.items[change.Key] = *change
-	return true
-}
-
-// deliver calls Receive with the items in the order of their keys.
-func (p *partCopy) deliver() {
-	items := make([]gypsumrail.Item, 0, len(p.items))
-	for _, item := range p.items {
-		items = append(items, item)
-	}
-	slices.SortFunc(items, func(a, b gypsumrail.Item) int { return cmp.Compare(a.Key, b.Key) })
-	p.Receive(items, p.lastChange)
-}
+// deliver calls Receive with the items in the order of their keys. Only Run's goroutine
+// changes the items, so it needs no lock to read them.
+func (p *partCopy) deliver() { p.Receive(p.sorted(), p.lastChange) }
 
 // sleep waits for the pause with jitter, or until ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
--- a/internal/node/mirror/mirror_test.go
+++ b/internal/node/mirror/mirror_test.go
@@ -145,7 +145,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				New(s, time.Second, contact, Part{Receive: receive}).Run(ctx)
+				New(Settings{Store: s, Clock: clock{time.Now()}, Wait: time.Second, Contact: contact}, Part{Receive: receive}).Run(ctx)
 			}()
 			<-s.ended
 			cancel()
@@ -183,7 +183,8 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		New(s, time.Second, func(error) {}, Part{"r/", receiver("r")}, Part{"s/", receiver("s")}).Run(ctx)
+		settings := Settings{Store: s, Clock: clock{time.Now()}, Wait: time.Second, Contact: func(error) {}}
+		New(settings, Part{"r/", receiver("r")}, Part{"s/", receiver("s")}).Run(ctx)
 	}()
 	<-s.ended
 	cancel()
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -46,7 +46,7 @@
 
 func serve(t *testing.T, handler Handler, limit int) (*Client, string) {
 	t.Helper()
-	s := httptest.NewServer(NewServer(handler, limit))
+	s := httptest.NewServer(NewServer(handler, nil, limit))
 	t.Cleanup(s.Close)
 	return NewClient(http.DefaultTransport, &http.Transport{DisableKeepAlives: true}), strings.TrimPrefix(s.URL, "http://")
 }
--- a/internal/node/peer/server.go
+++ b/internal/node/peer/server.go
@@ -12,11 +12,17 @@
 // PathPrefix is the common prefix of the URL paths of the service.
 const PathPrefix = ControlPathPrefix
 
+// readsMax is the limit of concurrent Read calls. Most of them wait for a change.
+const readsMax = 256
+
 // NewServer returns the HTTP handler of the service. At most limit calls run at
-// once. Further calls are rejected with ErrBusy. The handler is safe for
-// concurrent use.
-func NewServer(handler Handler, limit int) http.Handler {
-	service := NewControlServer(&server{handler: handler, slots: make(chan struct{}, limit)})
+// once, besides readsMax calls of Read. Further calls are rejected with ErrBusy.
+// Read is answered from the store, or with ErrNotFound if that is nil. The handler
+// is safe for concurrent use.
+func NewServer(handler Handler, store gypsumrail.Store, limit int) http.Handler {
+	service := NewControlServer(&server{
+		handler: handler, store: store, slots: make(chan struct{}, limit), readSlots: make(chan struct{}, readsMax),
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, requestMax(r.URL.Path))
 		service.ServeHTTP(w, r)
@@ -33,21 +39,25 @@
 }
 
 type server struct {
-	handler Handler
-	slots   chan struct{}
+	handler   Handler
+	store     gypsumrail.Store
+	slots     chan struct{}
+	readSlots chan struct{}
 }
 
-// acquireSlot reserves a slot for one call, or returns ErrBusy as a Twirp error
-// if all are in use.
-func (s *server) acquireSlot() error {
+// acquire reserves a slot for one call, or returns ErrBusy as a Twirp error if all
+// are in use.
+func acquire(slots chan struct{}) error {
 	select {
-	case s.slots <- struct{}{}:
+	case slots <- struct{}{}:
 		return nil
 	default:
 		return toTwirpError(ErrBusy)
 	}
 }
 
+func (s *server) acquireSlot() error { return acquire(s.slots) }
+
 func (s *server) releaseSlot() { <-s.slots }
 
 func (s *server) Exchange(ctx context.Context, m *ExchangeMessage) (*ExchangeMessage, error) {
--- a/internal/node/relay/control.go
+++ b/internal/node/relay/control.go
@@ -55,6 +55,10 @@
 	if !ok || value.Version.Revision < wanted.Revision {
 		return gypsumrail.ValueVersion{}, nil, peer.ErrNotFound
 	}
+	value, err := value.Encoded()
+	if err != nil {
+		return gypsumrail.ValueVersion{}, nil, fmt.Errorf("%w: %w", peer.ErrUnavailable, err)
+	}
 	return value.Version, value.Content, nil
 }
 
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -70,7 +70,7 @@
 	go r.accept(r.listeners.clients, gypsumrail.FromCaller)
 	go r.accept(r.listeners.peers, gypsumrail.FromPeer)
 	servers := []*http.Server{
-		newServer(peer.NewServer(controlHandler{r}, incomingControlMax)), newServer(r.readyHandler()), newServer(r.adminHandler()),
+		newServer(peer.NewServer(controlHandler{r}, r.follower, incomingControlMax)), newServer(r.readyHandler()), newServer(r.adminHandler()),
 	}
 	for i, listener := range []net.Listener{r.listeners.control, r.listeners.ready, r.listeners.admin} {
 		go func() {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -32,6 +32,7 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/events"
 	"github.com/gypsumrail/gypsumrail/internal/node/fetch"
 	"github.com/gypsumrail/gypsumrail/internal/node/loop"
+	"github.com/gypsumrail/gypsumrail/internal/node/mirror"
 	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
@@ -87,6 +88,7 @@
 	control        *peer.Client
 	controlPool    *client.Pool
 	values         *fetch.Store
+	follower       *mirror.Follower
 	log            *events.Log
 	controlSlots   chan struct{} // one element for each control message being sent
 	records        atomic.Pointer[gypsumrail.Records]
@@ -126,6 +128,7 @@
 	r.log = events.NewLog(parts.Logger, shell.NoticeLinesDropped)
 	r.controlPool.SetConns(controlConnsPerPeer)
 	r.control = peer.NewClient(r.controlPool, client.NewUnpooled())
+	r.follower = r.newFollower()
 	r.loop = loop.New(parts.Reducer, parts.Clock, r.perform, parts.Meter.RecordStep)
 	return r
 }
@@ -137,7 +140,7 @@
 	r.log.Put(shell.NoticeNodeStarted, r.settings.Self.Name, gypsumrail.ReasonNone, r.settingsDetail())
 	var work sync.WaitGroup
 	work.Go(r.tick)
-	r.watchPlatform(&work)
+	work.Go(func() { r.follower.Run(r.base) })
 	servers := r.serve()
 	select {
 	case <-r.stopped:
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -99,7 +99,7 @@
 			close(r.stopped)
 		}
 	case gypsumrail.Watch:
-		// watchPlatform watches from the start of the node to its end.
+		// The follower watches from the start of the node to its end.
 	default:
 		r.log.Put(shell.NoticeServerFault, string(e.Kind), gypsumrail.ReasonNone, "the relay does not support this kind of effect")
 	}
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/netip"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -13,24 +12,35 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/mirror"
 	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
+	"github.com/gypsumrail/gypsumrail/internal/node/source"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
-// watchWaitMax is the longest wait of a watch request. If the watches of most nodes
-// miss a change, this wait is part of the time until the change takes effect; see
-// package mirror. New records must be in force, and a leaving target must receive no
-// more calls, within 2 s.
-const watchWaitMax = 2 * time.Second
+// watchWaitMax is the longest wait of a watch request at the store. If the watches of
+// most nodes miss a change, or if the reader of a zone loses its contact to the store,
+// this wait is part of the time until the change takes effect; see packages mirror and
+// source. New records must be in force, and a leaving target must receive no more
+// calls, within 2 s.
+const watchWaitMax = 700 * time.Millisecond
 
-// watchPlatform starts watching the records and the instances in the platform's
-// store. The goroutine in work ends with the relay.
-func (r *Relay) watchPlatform(work *sync.WaitGroup) {
+// newFollower returns the follower of the records and the instances in the platform's
+// store, which reads them there or from a peer.
+func (r *Relay) newFollower() *mirror.Follower {
 	catalog := r.parts.Catalog
-	follower := mirror.New(r.parts.Store, watchWaitMax, r.onPlatform,
+	return mirror.New(
+		mirror.Settings{
+			Store: r.parts.Store, Peers: r.peerStore, Sources: source.New(r.settings.Self.Address, r.settings.Self.Zone),
+			Clock: r.parts.Clock, Wait: watchWaitMax, Contact: r.onPlatform,
+		},
 		mirror.Part{Prefix: catalog.RecordsKey(), Receive: r.onRecords},
 		mirror.Part{Prefix: catalog.InstancesPrefix(), Receive: r.newInstancesHandler()},
 	)
-	work.Go(func() { follower.Run(r.base) })
+}
+
+// peerStore returns the copy of the platform's store that the node with an address
+// keeps.
+func (r *Relay) peerStore(address string) gypsumrail.Store {
+	return r.control.Store(controlAddress(address))
 }
 
 // onPlatform logs that the platform is lost, with the error of the first failed read,
@@ -98,46 +108,62 @@
 // instance list and offers it to the reducer. It leaves out invalid items and logs
 // each invalid revision of an item once.
 func (r *Relay) newInstancesHandler() mirror.Receiver {
-	rejected := make(map[string]uint64)
+	known := make(map[string]decodedItem)
 	return func(items []gypsumrail.Item, revision uint64) {
 		list := make([]gypsumrail.Instance, 0, len(items))
+		next := make(map[string]decodedItem, len(items))
 		for i := range items {
-			instance, err := r.parts.Catalog.Instance(items[i])
-			if err == nil {
-				err = wire.CheckInstance(&instance)
+			decoded, ok := known[items[i].Key]
+			if !ok || decoded.revision != items[i].Revision {
+				decoded = r.decodeInstance(items[i])
 			}
-			if err == nil {
-				list = append(list, instance)
-				continue
-			}
-			if rejected[items[i].Key] != items[i].Revision && len(rejected) < rejectedItemsMax {
-				rejected[items[i].Key] = items[i].Revision
-				r.log.Put(shell.NoticeInstancesRejected, items[i].Key, gypsumrail.ReasonNone, err.Error())
+			next[items[i].Key] = decoded
+			if decoded.valid {
+				list = append(list, decoded.instance)
 			}
 		}
+		known = next
+		r.follower.SetInstances(list)
 		r.offerInstances(list, gypsumrail.Revision(revision), nil, gypsumrail.Instance{})
 	}
 }
 
-// rejectedItemsMax bounds the invalid items that are remembered. Once it is
-// reached, invalid items are left out without a log line.
-const rejectedItemsMax = 4096
+// decodedItem is the result of decoding one revision of an item.
+type decodedItem struct {
+	revision uint64
+	instance gypsumrail.Instance
+	valid    bool
+}
+
+// decodeInstance decodes an item of the platform's instances and logs it if it is
+// invalid.
+func (r *Relay) decodeInstance(item gypsumrail.Item) decodedItem {
+	instance, err := r.parts.Catalog.Instance(item)
+	if err == nil {
+		err = wire.CheckInstance(&instance)
+	}
+	if err != nil {
+		r.log.Put(shell.NoticeInstancesRejected, item.Key, gypsumrail.ReasonNone, err.Error())
+	}
+	return decodedItem{item.Revision, instance, err == nil}
+}
 
 // offerInstances gives an instance list to the reducer, which adopts it if its
-// revision is newer. The encoded list in content is what peers pull; if it is nil,
-// offerInstances encodes the list. The instance from is as in offerRecords.
+// revision is newer. The encoded list in content is what peers pull; if it is nil, the
+// list is encoded when a peer pulls it, and its version has no hash. The instance from
+// is as in offerRecords.
 func (r *Relay) offerInstances(list []gypsumrail.Instance, revision gypsumrail.Revision, content []byte, from gypsumrail.Instance) {
 	r.offerMu.Lock()
 	defer r.offerMu.Unlock()
-	var err error
-	if content == nil {
-		content, err = wire.FormatInstances(list)
+	version := gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: revision}
+	value := fetch.Value{Version: version, Content: content}
+	if content != nil {
+		version.Hash = peer.HashOf(content)
+		value.Version = version
+	} else {
+		value.Encode = func() ([]byte, error) { return wire.FormatInstances(list) }
 	}
-	version := gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: revision, Hash: peer.HashOf(content)}
-	if err == nil {
-		err = r.values.Offer(fetch.Value{Version: version, Content: content})
-	}
-	if err != nil {
+	if err := r.values.Offer(value); err != nil {
 		r.log.Put(shell.NoticeInstancesRejected, from.Name, gypsumrail.ReasonNone, err.Error())
 		return
 	}
--- a/internal/node/shell/listen.go
+++ b/internal/node/shell/listen.go
@@ -143,7 +143,7 @@
 // decide: callers choose the path of a call and must not reach the control
 // messages with it.
 func (s *Shell) peersHandler() http.Handler {
-	control := peer.NewServer(controlHandler{s}, incomingControlMax)
+	control := peer.NewServer(controlHandler{s}, nil, incomingControlMax)
 	calls := s.callHandler(gypsumrail.FromPeer)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(wire.HeaderAttemptID) == "" && strings.HasPrefix(r.URL.Path, peer.PathPrefix) {
