Watch the store for longer, with cheap probes meanwhile

Change: a watch waits up to 10 s. Meanwhile stale reads each 0.3 to 0.6 s, at a tenth of the price, show that the store answers, and their revision shows a watch whose answer was lost. They change no belief. Nodes without a listed instance of their zone read from one of another zone.

Red before: TestReaderOfOtherZone; TestFaultsInEachOrder found that two frozen peers in a row took 2.2 s, so the first read after a failure does not wait.

--- a/internal/node/mirror/fleet_test.go
+++ b/internal/node/mirror/fleet_test.go
@@ -30,6 +30,7 @@
 	changed  chan struct{}
 	down     bool
 	calls    int
+	probes   int
 }
 
 func newPlatform() *platform {
@@ -70,6 +71,16 @@
 	return p.calls
 }
 
+func (p *platform) Revision(context.Context) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probes++
+	if p.down {
+		return 0, gypsumrail.ErrStoreUnavailable
+	}
+	return p.revision, nil
+}
+
 func (p *platform) List(_ context.Context, prefix, _ string) (gypsumrail.Items, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -191,6 +202,17 @@
 	return items, err
 }
 
+func (p path) Revision(ctx context.Context) (uint64, error) {
+	if err := p.pass(ctx); err != nil {
+		return 0, err
+	}
+	revision, err := p.store().Revision(ctx)
+	if lost := p.pass(ctx); lost != nil {
+		return 0, lost
+	}
+	return revision, err
+}
+
 func (p path) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
 	if err := p.pass(ctx); err != nil {
 		return gypsumrail.Items{}, err
@@ -234,7 +256,7 @@
 		f.members = append(f.members, m)
 	}
 	m.Follower = New(Settings{
-		Store: path{fleet: f, from: m}, Sources: source.New(m.address, "z"), Clock: clock{f.began}, Wait: 700 * time.Millisecond,
+		Store: path{fleet: f, from: m}, Sources: source.New(m.address, "z"), Clock: clock{f.began}, Wait: 10 * time.Second,
 		Peers: func(address string) gypsumrail.Store {
 			return path{f, m, f.members[slices.IndexFunc(f.members, func(o *member) bool { return o.address == address })]}
 		},
@@ -339,7 +361,7 @@
 				f.checkApplied(t, "after the start")
 				before := f.platform.callCount()
 				time.Sleep(20 * time.Second)
-				if calls := f.platform.callCount() - before; calls > 20*4 {
+				if calls := f.platform.callCount() - before; calls > 20/4 {
 					t.Errorf("20 s without a change cost %d calls", calls)
 				}
 				before = f.platform.callCount()
@@ -347,7 +369,7 @@
 					f.platform.change("r/1", false)
 					time.Sleep(time.Second)
 				}
-				if calls := f.platform.callCount() - before; calls > 5*4+5 {
+				if calls := f.platform.callCount() - before; calls > 5+2 {
 					t.Errorf("5 changes in 5 s cost %d calls", calls)
 				}
 				f.checkApplied(t, "after the changes")
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -73,10 +73,8 @@
 	Sources *source.Chooser                       // nil: the store only
 	Clock   gypsumrail.Clock
 	// Wait is the longest wait of a watch at the store. Each one waits for a random
-	// time between its half and Wait. A shorter wait costs more calls. A longer one
-	// delays the detection of changes that a watch missed. The random part makes the
-	// watches of a fleet end at different times, so that some node soon detects a
-	// change that all watches missed.
+	// time between its half and Wait. Cheaper probes show meanwhile whether the store
+	// can be reached and whether the watch missed a change.
 	Wait    time.Duration
 	Contact Contact
 }
@@ -219,15 +217,11 @@
 	f.storeFailed, f.peerFailed = false, false
 	f.mu.Lock()
 	f.sources.Succeeded(from)
+	f.mu.Unlock()
 	if from == "" {
 		f.responseTimeout = responseTimeoutMin
-		wake := !f.confirmedLocked()
-		f.confirmed, f.storeLost = time.Now(), false
-		if wake {
-			f.signal()
-		}
+		f.confirm()
 	}
-	f.mu.Unlock()
 	f.report(nil)
 }
 
@@ -263,14 +257,16 @@
 
 // waitOf returns the waiting time of the next watch at a source.
 func (f *Follower) waitOf(from string) time.Duration {
-	if f.unreachable || from == "" && f.storeFailed {
-		return 0 // a watch that waits would delay the report that the platform is back
+	if f.unreachable || from == "" && !f.isConfirmed() || from != "" && f.peerFailed {
+		// A watch that waits would delay the report that the platform is back, the answer
+		// to a peer that asked, or the turn to the next source if this one fails too.
+		return 0
 	}
 	wait := f.settings.Wait
 	if from != "" {
 		wait = min(wait, peerWaitMax)
 	}
-	return wait/2 + rand.N(wait/2+1) //nolint:gosec // spreads load; needs no secure randomness
+	return jitter(wait)
 }
 
 // watch reads the changes since the last read and reports whether there were any.
@@ -278,8 +274,16 @@
 	wait := f.waitOf(from)
 	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout(from))
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	if from == "" && wait > probeInterval {
+		go f.probe(ctx, stop)
+	}
 	changes, err := store.Changes(ctx, f.prefix, f.revision, wait)
-	if err != nil {
+	switch {
+	case errors.Is(context.Cause(ctx), errWatchLost):
+		return false, nil // the next watch reads the change from the history
+	case err != nil:
 		return false, err //nolint:wrapcheck // the store's errors are this package's own
 	}
 	// Report the contact before the copy is delivered: the receiver treats items that
--- a/internal/node/mirror/serve.go
+++ b/internal/node/mirror/serve.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// confirmedMax is the age of the last successful read of the store from which on a
-	// copy is not served to peers. It exceeds the time between two reads of a calm
-	// store. A peer that follows a reader without contact learns of changes later by
-	// this time.
+	// confirmedMax is the age of the last answer of the store from which on a copy is
+	// not served to peers. It exceeds the time between two probes. A peer that follows a
+	// reader without contact learns of changes later by this time.
 	confirmedMax = time.Second
 	// confirmWait is how long a request of a peer waits for a read of the store if the
 	// copy is older.
@@ -79,6 +78,16 @@
 	}
 }
 
+// Revision implements gypsumrail.Store for peers.
+func (f *Follower) Revision(ctx context.Context) (uint64, error) {
+	if err := f.awaitConfirmed(ctx); err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, nil
+}
+
 func unconfirmed() error {
 	return fmt.Errorf("%w: %w", gypsumrail.ErrStoreUnavailable, errUnconfirmed)
 }
--- a/internal/node/peer/read.go
+++ b/internal/node/peer/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -68,6 +69,12 @@
 	return r.read(ctx, &ReadRequest{Prefix: prefix, Since: since, Wait: uint32(wait.Milliseconds())}) //nolint:gosec // at most readWaitMax
 }
 
+// Revision implements gypsumrail.Store.
+func (r remoteStore) Revision(ctx context.Context) (uint64, error) {
+	items, err := r.Changes(ctx, "", math.MaxUint64, 0)
+	return items.Revision, err
+}
+
 func (r remoteStore) read(ctx context.Context, request *ReadRequest) (gypsumrail.Items, error) {
 	answer, err := controlClient(r.client.pooled, r.address).Read(ctx, request)
 	if err != nil {
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -76,6 +76,11 @@
 	return items, err
 }
 
+func (s *store) Revision(context.Context) (uint64, error) {
+	items, _, err := s.read("", 0)
+	return items.Revision, err
+}
+
 func (s *store) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (gypsumrail.Items, error) {
 	items, changed, err := s.read(prefix, since)
 	if err != nil || len(items.List) > 0 {
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -16,12 +16,10 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
-// watchWaitMax is the longest wait of a watch request at the store. If the watches of
-// most nodes miss a change, or if the reader of a zone loses its contact to the store,
-// this wait is part of the time until the change takes effect; see packages mirror and
-// source. New records must be in force, and a leaving target must receive no more
-// calls, within 2 s.
-const watchWaitMax = 700 * time.Millisecond
+// watchWaitMax is the longest wait of a watch request at the store. It bounds the time
+// until a change takes effect that neither the watch nor the probes during it showed;
+// see package mirror.
+const watchWaitMax = 10 * time.Second
 
 // newFollower returns the follower of the records and the instances in the platform's
 // store, which reads them there or from a peer.
--- a/internal/node/source/source.go
+++ b/internal/node/source/source.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,30 +64,22 @@
 // names other nodes of the zone, it chooses the store.
 func New(self, zone string) *Chooser { return &Chooser{self: self, zone: zone} }
 
-// SetInstances ranks the live instances of the node's zone.
+// SetInstances ranks the live instances of the node's zone, or those of all zones if
+// there is none in its own: a fleet that starts then needs one reader, not one a node.
 func (c *Chooser) SetInstances(list []gypsumrail.Instance) {
-	type ranked struct {
-		address string
-		hash    uint64
+	ranked := rank(list, func(i *gypsumrail.Instance) bool { return i.Zone == c.zone })
+	if len(ranked) == 0 {
+		ranked = rank(list, func(*gypsumrail.Instance) bool { return true })
 	}
-	var zone []ranked
-	for i := range list {
-		if list[i].Zone == c.zone && list[i].State == gypsumrail.Live {
-			zone = append(zone, ranked{list[i].Address, xxhash.Sum64String(list[i].Address)})
-		}
-	}
-	slices.SortFunc(zone, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.address, b.address))
-	})
-	c.first = len(zone) > 0 && zone[0].address == c.self
+	c.first = len(ranked) > 0 && ranked[0] == c.self
 	known := c.readers
 	c.readers = nil
-	for _, r := range zone {
-		if r.address == c.self || slices.ContainsFunc(c.readers, func(o reader) bool { return o.address == r.address }) {
+	for _, address := range ranked {
+		if address == c.self {
 			continue
 		}
-		next := reader{address: r.address}
-		if i := slices.IndexFunc(known, func(o reader) bool { return o.address == r.address }); i >= 0 {
+		next := reader{address: address}
+		if i := slices.IndexFunc(known, func(r reader) bool { return r.address == address }); i >= 0 {
 			next = known[i]
 		}
 		if c.readers = append(c.readers, next); len(c.readers) == readersMax {
@@ -95,6 +88,19 @@
 	}
 }
 
+// rank returns the addresses of the live instances that match, best first.
+func rank(list []gypsumrail.Instance, match func(*gypsumrail.Instance) bool) []string {
+	hashes := make(map[string]uint64)
+	for i := range list {
+		if list[i].State == gypsumrail.Live && match(&list[i]) {
+			hashes[list[i].Address] = xxhash.Sum64String(list[i].Address)
+		}
+	}
+	return slices.SortedFunc(maps.Keys(hashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a, b))
+	})
+}
+
 // Next returns the address of the peer to read from, or "" for the store.
 func (c *Chooser) Next(now gypsumrail.Millis) string {
 	storePaused := now < c.storeUntil
--- a/internal/node/source/source_test.go
+++ b/internal/node/source/source_test.go
@@ -83,3 +83,17 @@
 		}
 	}
 }
+
+// Pattern: a fleet starts, and the first entries are of another zone. Guards against all
+// nodes of a zone reading the store until one of them is listed.
+func TestReaderOfOtherZone(t *testing.T) {
+	c := New("a-0", "z")
+	c.SetInstances([]gypsumrail.Instance{{Address: "b", Zone: "y", State: gypsumrail.Live}})
+	if got := c.Next(0); got != "b" {
+		t.Errorf("without an instance of its zone, the node reads from %q, want the other zone's", got)
+	}
+	c.SetInstances(append(zoneOf(2), gypsumrail.Instance{Address: "b", Zone: "y", State: gypsumrail.Live}))
+	if got := c.Next(0); got == "b" {
+		t.Error("with instances of its zone, the node still reads from another zone")
+	}
+}
