List the store in one call, and let changes settle for longer

TestFollowParts expected a listing for each part; it now expects one for all, with an item of no part in it.

--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -1,9 +1,9 @@
 // Package mirror keeps copies of parts of the platform's store up to date, and serves
 // them to peers.
 //
-// It lists each part and then watches for changes, at the store or at a peer that
-// does; package source decides which. One watch covers all parts:
-// its prefix is the longest one that they have in common, which may be empty. So a
+// It lists the parts and then watches for changes, at the store or at a peer that
+// does; package source decides which. One listing and one watch cover all parts:
+// their prefix is the longest one that they have in common, which may be empty. So a
 // node has one pending call at the store while nothing changes.
 //
 // The package handles the gaps between a listing and a watch: pages that are not one
@@ -46,9 +46,10 @@
 	// the reads from the next sources, a change that a frozen peer does not pass on
 	// arrives within 1.5 s.
 	peerWaitMax = 800 * time.Millisecond
-	// settleTime is the pause after a read that returned changes. Changes that follow
-	// each other closely, as at the start of a fleet, then arrive together.
-	settleTime = 100 * time.Millisecond
+	// Pauses after a read that returned changes, from the store and from a peer. Changes
+	// that follow each other closely, as at the start of a fleet, then arrive together.
+	storeSettleTime = 150 * time.Millisecond
+	peerSettleTime  = 50 * time.Millisecond
 )
 
 // Part is a set of items, those below a prefix, with the function that receives them.
@@ -159,8 +160,10 @@
 		case err != nil:
 		default:
 			pause, failures = pauseMin, 0
-			if changes {
-				sleep(ctx, settleTime)
+			if changes && from == "" {
+				sleep(ctx, storeSettleTime)
+			} else if changes {
+				sleep(ctx, peerSettleTime)
 			}
 		}
 	}
@@ -323,17 +326,9 @@
 // it also reads the changes that happen during the listing. A listing of a peer that is
 // behind the own copy fails, as it would bring back what was removed.
 func (f *Follower) list(ctx context.Context, store gypsumrail.Store, from string) error {
-	revision := uint64(0)
-	lists := make([]map[string]gypsumrail.Item, len(f.parts))
-	for i, part := range f.parts {
-		items, first, err := f.listPart(ctx, store, from, part.Prefix)
-		if err != nil {
-			return err
-		}
-		lists[i] = items
-		if i == 0 {
-			revision = first
-		}
+	items, revision, err := f.listAll(ctx, store, from)
+	if err != nil {
+		return err
 	}
 	if from != "" && revision < f.revision {
 		return fmt.Errorf("%w: %w", gypsumrail.ErrStoreUnavailable, errBehind)
@@ -342,7 +337,7 @@
 	f.mu.Lock()
 	f.revision, f.listed = revision, true
 	for i, part := range f.parts {
-		part.replace(lists[i], revision)
+		part.replace(items[i], revision)
 	}
 	f.signal()
 	f.mu.Unlock()
@@ -352,12 +347,16 @@
 	return nil
 }
 
-// listPart reads all pages of a part and returns the revision of the first one.
-func (f *Follower) listPart(ctx context.Context, store gypsumrail.Store, from, prefix string) (map[string]gypsumrail.Item, uint64, error) {
-	items := make(map[string]gypsumrail.Item)
+// listAll reads all pages below the common prefix. It returns the items of each part
+// and the revision of the first page.
+func (f *Follower) listAll(ctx context.Context, store gypsumrail.Store, from string) ([]map[string]gypsumrail.Item, uint64, error) {
+	items := make([]map[string]gypsumrail.Item, len(f.parts))
+	for i := range items {
+		items[i] = make(map[string]gypsumrail.Item)
+	}
 	revision, after := uint64(0), ""
 	for {
-		page, err := f.page(ctx, store, from, prefix, after)
+		page, err := f.page(ctx, store, from, after)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -365,8 +364,10 @@
 			revision = page.Revision
 		}
 		for _, item := range page.List {
-			if len(items) < itemsMax {
-				items[item.Key] = item
+			for i, part := range f.parts {
+				if strings.HasPrefix(item.Key, part.Prefix) && len(items[i]) < itemsMax {
+					items[i][item.Key] = item
+				}
 			}
 		}
 		if !page.More || len(page.List) == 0 {
@@ -376,10 +377,10 @@
 	}
 }
 
-func (f *Follower) page(ctx context.Context, store gypsumrail.Store, from, prefix, after string) (gypsumrail.Items, error) {
+func (f *Follower) page(ctx context.Context, store gypsumrail.Store, from, after string) (gypsumrail.Items, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout(from))
 	defer cancel()
-	return store.List(ctx, prefix, after) //nolint:wrapcheck // as in watch
+	return store.List(ctx, f.prefix, after) //nolint:wrapcheck // as in watch
 }
 
 // deliver calls Receive with the items in the order of their keys. Only Run's goroutine
--- a/internal/node/mirror/mirror_test.go
+++ b/internal/node/mirror/mirror_test.go
@@ -163,11 +163,11 @@
 	}
 }
 
-// Guards against one watch per prefix instead of one for all parts. Also guards
-// against a part that receives the changes or revisions of another one.
+// Guards against one listing or watch per prefix instead of one for all parts. Also
+// guards against a part that receives the items or revisions of another one.
 func TestFollowParts(t *testing.T) {
 	s := &script{ended: make(chan struct{}), steps: []step{
-		{items: items(3, item("r/a", 1))},
+		{items: gypsumrail.Items{List: []gypsumrail.Item{item("q/w", 2), item("r/a", 1)}, Revision: 3, More: true}},
 		{items: items(5, item("s/b", 5))},
 		{items: items(6, item("s/c", 6), item("q/x", 4), item("r/a", 1))},
 		{items: items(8, removed("s/b", 8), item("r/a", 7))},
@@ -195,7 +195,7 @@
 	if diff := cmp.Diff([]string{"r1 r/a", "s5 s/b", "s6 s/b s/c", "r7 r/a", "s8 s/c"}, got); diff != "" {
 		t.Errorf("delivered (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]string{"list r/", "list s/", "watch 3", "watch 6", "watch 8"}, s.calls); diff != "" {
+	if diff := cmp.Diff([]string{"list ", "list r/a", "watch 3", "watch 6", "watch 8"}, s.calls); diff != "" {
 		t.Errorf("calls (-want +got):\n%s", diff)
 	}
 }
