Hold large bodies once, and count chunked ones

Cause: a request body was in memory three times at each of two nodes (the buffer of its connection, the call, the message), and an answer body as often; each connection kept the buffer of its largest request. Chunked bodies, and all of up to 64 KiB, did not count towards the bound of 64 MiB for all calls of a process. Change: bodies are taken out of the parser's buffer instead of copied, and written behind the head instead of joined to it. Chunked bodies count with the largest allowed size while they are read and with their own afterwards; all over 16 KiB count. Red before: TestLargeBodies with a chunked second body (no answer within 5 s instead of 503). It used three bodies with a length; that case is kept beside the new one. Not done: streaming. Bodies are still whole at both nodes.

Also: the pause after failures of the store grows to 1.2 s for readers and to 2.4 s for nodes that learn of its return from readers.

--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -32,9 +32,10 @@
 	writeTimeout = 30 * time.Second
 	// lingerTimeout is how long a closing connection waits for its client to close.
 	lingerTimeout = time.Second
-	// Bodies of more than largeBodyThreshold bytes count towards largeBodyBytesMax. It
-	// bounds the memory that clients can fill: an instance has some hundred megabytes.
-	largeBodyThreshold = 64 << 10
+	// Bodies of more than largeBodyThreshold bytes, and those of unknown size while they
+	// are read, count towards largeBodyBytesMax. It bounds the memory that clients can
+	// fill: an instance has some hundred megabytes.
+	largeBodyThreshold = 16 << 10
 	largeBodyBytesMax  = 64 << 20
 	// connsMax bounds the open connections of clients and nodes. It is below the
 	// file descriptor limit of a small instance.
@@ -220,13 +221,10 @@
 		c.reject("", http.StatusRequestEntityTooLarge, wire.ReasonBodyTooLong, true)
 		return nil, false
 	}
-	if size < 0 {
-		size = largeBodyThreshold // chunked: the size is unknown and does not count as large
-	}
-	largeBodyBytes := int64(0)
-	if size > largeBodyThreshold {
-		largeBodyBytes = int64(size)
+	if size == chunkedLength {
+		size = limits.BodyBytes // the largest possible one, until it is read
 	}
+	largeBodyBytes := countedBytes(size)
 	if c.relay.largeBodyBytes.Add(largeBodyBytes) > largeBodyBytesMax {
 		c.relay.largeBodyBytes.Add(-largeBodyBytes)
 		c.reject(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy, true)
@@ -242,10 +240,22 @@
 		c.relay.largeBodyBytes.Add(-largeBodyBytes)
 		return nil, true
 	}
-	k.largeBodyBytes = largeBodyBytes
+	k.largeBodyBytes = countedBytes(len(k.body))
+	c.relay.largeBodyBytes.Add(k.largeBodyBytes - largeBodyBytes)
 	return k, true
 }
 
+// chunkedLength is the ContentLength that fasthttp reports for a chunked body.
+const chunkedLength = -1
+
+// countedBytes returns the bytes of a body that count towards largeBodyBytesMax.
+func countedBytes(size int) int64 {
+	if size <= largeBodyThreshold {
+		return 0
+	}
+	return int64(size)
+}
+
 // rejectUnreadable answers a request that could not be read, unless the caller closed
 // the connection. It always returns false: the connection has to be closed.
 func (c *conn) rejectUnreadable(err error) bool {
@@ -304,7 +314,7 @@
 	if !ok {
 		return nil
 	}
-	k.body = append([]byte(nil), request.Body()...)
+	k.body = request.SwapBody(nil) // not copied: large bodies would be in memory twice
 	k.head = requestHead(h, own, len(k.body))
 	return k
 }
@@ -363,16 +373,23 @@
 	closeNext := rep.close || c.closeNext || c.origin != gypsumrail.FromPeer && c.relay.draining.Load()
 	c.closing = c.closing || closeNext
 	c.mu.Unlock()
-	message := make([]byte, 0, len(rep.head)+len(rep.extraHead)+len(rep.body)+32)
+	rest := rep.body
+	message := make([]byte, 0, len(rep.head)+len(rep.extraHead)+min(len(rest), directWriteBytesMax)+32)
 	message = append(message, rep.head...)
 	message = append(message, rep.extraHead...)
 	if closeNext {
 		message = append(message, "Connection: close\r\n"...)
 	}
 	message = append(message, '\r', '\n')
-	message = append(message, rep.body...)
+	if len(rest) <= directWriteBytesMax {
+		message, rest = append(message, rest...), nil
+	}
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.net.Write(message); err != nil {
+	_, err := c.net.Write(message)
+	if err == nil && len(rest) > 0 {
+		_, err = c.net.Write(rest)
+	}
+	if err != nil {
 		_ = c.net.Close() // ends serveConn too
 	}
 	if closeNext {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -46,13 +46,21 @@
 type httpExchange struct {
 	pool     *pool.Pool
 	host     string
-	message  []byte
+	message  []byte // the head and as much of the body as is written before the answer is read
+	rest     []byte // of the body
 	request  string // identity that the answer must echo; an error status may omit it
 	header   string // name of the header with the identity
 	isHead   bool
 	deadline time.Time // for sending; the answer is read until readGrace after it
 }
 
+// setMessage sets the request to a head and a body. It does not copy a large body, which
+// the call holds already.
+func (x *httpExchange) setMessage(head, body []byte) {
+	direct := min(len(body), max(directWriteBytesMax-len(head), 0))
+	x.message, x.rest = append(head, body[:direct]...), body[direct:]
+}
+
 // do sends the request, reads its answer into response and returns the connection
 // to the pool if it can be reused. An error that wraps errNotSent or
 // pool.ErrConnect means that the request cannot run.
@@ -113,16 +121,13 @@
 // the answer, because the other side may answer before it has read the whole
 // request.
 func (x *httpExchange) write(conn *pool.Conn) (int, error) {
-	if len(x.message) <= directWriteBytesMax {
-		return conn.Write(x.message) //nolint:wrapcheck // open classifies it
-	}
-	sent, err := conn.Write(x.message[:directWriteBytesMax])
-	if err != nil {
-		return sent, err //nolint:wrapcheck // as above
+	sent, err := conn.Write(x.message)
+	if err != nil || len(x.rest) == 0 {
+		return sent, err //nolint:wrapcheck // open classifies it
 	}
 	conn.PendingWrites.Add(1)
 	go func() {
-		if _, err := conn.Write(x.message[directWriteBytesMax:]); err == nil {
+		if _, err := conn.Write(x.rest); err == nil {
 			conn.PendingWrites.Add(-1)
 		}
 	}()
--- a/internal/node/relay/path_test.go
+++ b/internal/node/relay/path_test.go
@@ -297,18 +297,27 @@
 // Clients must not be able to fill the memory of a node with large bodies. The bytes
 // of a body must stop counting when its connection is closed.
 func TestLargeBodies(t *testing.T) {
+	const length, chunked = "Content-Length: 31457280\r\n\r\nbegin", "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n"
+	for _, second := range []string{length, chunked} {
+		testLargeBodies(t, length, second, length)
+	}
+}
+
+// testLargeBodies sends three requests with these headers and the beginning of the body.
+func testLargeBodies(t *testing.T, framing ...string) {
+	t.Helper()
 	entry, targets, platform := deployment(t, writeEcho)
 	larger := testRecords(2)
-	larger.Limits.BodyBytes = 64 << 20
+	larger.Limits.BodyBytes = 34 << 20
 	platform.put("records", larger)
 	time.Sleep(300 * time.Millisecond)
 	var open []net.Conn
-	for i := range 3 {
+	for i, frame := range framing {
 		conn, err := net.Dial("tcp", entry.ports.Clients) //nolint:noctx // loopback
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\nContent-Length: %d\r\n\r\nbegin", i, 30<<20)
+		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\n%s", i, frame)
 		open = append(open, conn)
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -24,15 +24,15 @@
 	c.attempts[e.Attempt-1] = a
 	c.active++
 	remaining := max(e.Deadline-now, 1)
-	message := make([]byte, 0, len(c.head)+len(c.body)+256)
+	message := make([]byte, 0, len(c.head)+min(len(c.body), directWriteBytesMax)+256)
 	message = append(message, c.head...)
 	message = appendCall(message, c, e, remaining, r.revisions())
 	message = append(message, '\r', '\n')
-	message = append(message, c.body...)
 	x := &httpExchange{
-		pool: r.peers, host: e.To.Address, message: message, request: c.request, header: r.settings.Headers.Request,
+		pool: r.peers, host: e.To.Address, request: c.request, header: r.settings.Headers.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
 	}
+	x.setMessage(message, c.body)
 	if e.Attempt > 1 {
 		r.log.Put(NoticeRequestResent, c.request, gypsumrail.ReasonNone,
 			"Class="+c.arrival.Class+" To="+e.To.Name+countField(" Attempt", e.Attempt)+countField(" Remaining", int(remaining)))
@@ -55,7 +55,7 @@
 			event.Kind, event.Result = gypsumrail.AttemptAnswered, &result
 			r.checkPeerRevisions(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
-				got = copyAnswer(response, c.isHead)
+				got = takeAnswer(response, c.isHead)
 			}
 		}
 	}
@@ -96,9 +96,10 @@
 	writeReplies(out, own)
 }
 
-// copyAnswer copies the answer out of a response that returns to its pool.
-func copyAnswer(response *fasthttp.Response, isHead bool) *answer {
-	body := append([]byte(nil), response.Body()...)
+// takeAnswer takes the answer out of a response that returns to its pool. The body is
+// not copied: large ones would be in memory twice, and stay in the pool.
+func takeAnswer(response *fasthttp.Response, isHead bool) *answer {
+	body := response.SwapBody(nil)
 	return &answer{status: response.StatusCode(), head: answerHead(&response.Header, len(body), isHead), body: body}
 }
 
@@ -123,7 +124,7 @@
 	if expectedTarget == "" {
 		expectedTarget = e.To.Name
 	}
-	message := make([]byte, 0, len(c.head)+len(c.body)+128)
+	message := make([]byte, 0, len(c.head)+min(len(c.body), directWriteBytesMax)+128)
 	message = append(message, c.head...)
 	message = appendNumber(message, own.Remaining, int64(remaining))
 	if expectedTarget != "" {
@@ -131,11 +132,11 @@
 	}
 	message = appendHeader(message, own.Origin, c.origin)
 	message = append(message, '\r', '\n')
-	message = append(message, c.body...)
 	x := &httpExchange{
-		pool: r.targets, host: r.settings.Target, message: message, request: c.request, header: own.Request,
+		pool: r.targets, host: r.settings.Target, request: c.request, header: own.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
 	}
+	x.setMessage(message, c.body)
 	go r.runOnTarget(c, a, x)
 }
 
@@ -161,7 +162,7 @@
 		r.finishAttempt(c, a, nil, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: c.id, Result: result})
 		return
 	}
-	r.finishAttempt(c, a, copyAnswer(response, c.isHead),
+	r.finishAttempt(c, a, takeAnswer(response, c.isHead),
 		&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, Call: c.id, Result: result},
 		&gypsumrail.Event{Kind: gypsumrail.TargetDone, Call: c.id, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
 }
--- a/internal/node/source/source.go
+++ b/internal/node/source/source.go
@@ -34,11 +34,12 @@
 	// Bounds of the pause after a failure of a peer. It doubles with each failure.
 	peerPauseMin = gypsumrail.Second
 	peerPauseMax = 8 * gypsumrail.Second
-	// Bounds of the pause after a failure of the store, for a node that peers rely on
-	// and for the others. While the store is away, each call to it is wasted, and the
-	// readers notice its return.
-	storePauseMin = 300 * gypsumrail.Millis(1)
-	storePauseMax = 1200 * gypsumrail.Millis(1)
+	// Bounds of the pause after a failure of the store. It doubles with each failure, to
+	// a lower bound for a node that peers rely on: while the store is away, the calls of
+	// the others are wasted, as they learn of its return from the readers.
+	storePauseMin       = 300 * gypsumrail.Millis(1)
+	storePauseMaxReader = 1200 * gypsumrail.Millis(1)
+	storePauseMax       = 2400 * gypsumrail.Millis(1)
 )
 
 // Chooser chooses the source of the next read of one node. It is not safe for
@@ -139,7 +140,7 @@
 	if source == "" {
 		longest := storePauseMax
 		if c.ReadsStore(now) {
-			longest = storePauseMin
+			longest = storePauseMaxReader
 		}
 		c.storePause = min(max(2*c.storePause, storePauseMin), longest)
 		c.storeUntil = now + c.storePause
