Notice within a second that the store is back

What the list lost in the cut is kept until 2 s after that, so an instance that was leaving got a request 2.02 s after it had said so. A read that began during the cut hung, with a timeout that doubles to 2.4 s, and the pauses of the readers added up.

Change: connections to the store are dialled within 0.3 s, the pause of readers stays at 0.3 s, and nodes with peers ask these meanwhile. A reader that a peer serves in its pause turns back to the store when that is over: before, it waited out the peer's watch while the rest of the zone relied on it.

--- a/internal/cmds/verbs/sidecar.go
+++ b/internal/cmds/verbs/sidecar.go
@@ -92,7 +92,7 @@
 			Ready: errs.requiredListenAddress("--ready", a.Ready), Admin: errs.requiredListenAddress("--admin", a.Admin),
 		},
 		Headers:    platform.Headers(),
-		Store:      platform.NewStore(errs.remoteAddress("--store", a.Store), client.NewPool()),
+		Store:      platform.NewStore(errs.remoteAddress("--store", a.Store), client.NewPoolWithDial(client.DialWithin(client.StoreDialTimeout))),
 		RetryShare: a.RetryShare,
 		RetryBurst: a.RetryBurst,
 		DrainMin:   drainMin,
--- a/internal/node/client/transport.go
+++ b/internal/node/client/transport.go
@@ -21,6 +21,10 @@
 // Timeouts of connections.
 const (
 	dialTimeout = time.Second
+	// StoreDialTimeout is for connections to the platform's store, which connects within
+	// milliseconds. While packets to it are dropped, a dial hangs; a new one soon after
+	// notices the end of that, when retransmissions of the hanging one are seconds apart.
+	StoreDialTimeout = 300 * time.Millisecond
 	// idleTimeout is below the 30 s after which the receiving node closes an idle
 	// connection. So the sender closes it first, and does not send a request on a
 	// connection that the other side is closing.
@@ -58,7 +62,7 @@
 // the default one.
 func NewPoolWithDial(via Dial) *Pool {
 	if via == nil {
-		via = dial
+		via = DialWithin(dialTimeout)
 	}
 	p := &Pool{dial: via}
 	p.SetConns(connsPerHostDefault)
@@ -104,7 +108,7 @@
 // function. With nil it uses the default one.
 func NewUnpooledWithDial(via Dial) http.RoundTripper {
 	if via == nil {
-		via = dial
+		via = DialWithin(dialTimeout)
 	}
 	return newTransport(via, connsPerHostDefault, true)
 }
@@ -126,17 +130,20 @@
 	}
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// DialWithin returns a Dial that fails if there is no connection within the timeout.
+func DialWithin(timeout time.Duration) Dial {
 	d := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: UserTimeout(userTimeout),
 	}
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, fmt.Errorf("client: %w", err)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("client: %w", err)
+		}
+		return conn, nil
 	}
-	return conn, nil
 }
--- a/internal/node/mirror/fleet_test.go
+++ b/internal/node/mirror/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/client"
 	"github.com/gypsumrail/gypsumrail/internal/node/source"
 )
 
@@ -169,7 +170,13 @@
 // pass waits as a connection does on which nothing arrives, or fails as a closed one.
 func (p path) pass(ctx context.Context) error {
 	frozen, cut, _ := p.from.state()
-	hangs := frozen || cut && p.to == nil
+	hangs := frozen
+	if cut && p.to == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, client.StoreDialTimeout)
+		defer cancel()
+		hangs = true
+	}
 	if p.to != nil {
 		frozen, _, dead := p.to.state()
 		if dead {
@@ -475,3 +482,39 @@
 		}
 	}
 }
+
+// contactWithin is how long after the end of a cut a node may take to read the platform
+// again. What the list lost during the cut is kept until 2 s after that, and must not
+// be used 3 s after the end of the cut.
+const contactWithin = time.Second
+
+// Pattern: a zone is cut off from the platform, for each length of the cut. Guards against
+// a node that hangs in a read that began during the cut, or that waits out a pause.
+func TestContactAfterCut(t *testing.T) {
+	for length := 500 * time.Millisecond; length <= 6*time.Second; length += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			f := newFleet(ctx, t, 6)
+			time.Sleep(3 * time.Second)
+			for _, m := range f.members {
+				m.set(func(m *member) { m.cut = true })
+			}
+			time.Sleep(length)
+			f.platform.change("x/1", false)
+			for _, m := range f.members {
+				m.set(func(m *member) { m.cut = false })
+			}
+			time.Sleep(contactWithin)
+			f.checkApplied(t, "after a cut of "+length.String())
+			for _, m := range f.members {
+				m.mu.Lock()
+				if m.away {
+					t.Errorf("%s: no contact %v after a cut of %v", m.address, contactWithin, length)
+				}
+				m.mu.Unlock()
+			}
+			f.stop()
+		})
+	}
+}
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -150,9 +150,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return
-		case err != nil && from != "":
+		case err != nil && (from != "" || f.hasReaders()):
 			if failures++; failures >= peerFailuresMax {
-				sleep(ctx, peerPause)
+				sleep(ctx, peerPause) // package source paces the reads from the store
 			}
 		case err != nil && f.storeFailed:
 			sleep(ctx, pause)
@@ -169,6 +169,12 @@
 	}
 }
 
+func (f *Follower) hasReaders() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sources.HasReaders()
+}
+
 // report calls Contact with the first failure and with the first success after it.
 func (f *Follower) report(err error) {
 	if unreachable := err != nil; unreachable != f.unreachable {
@@ -265,11 +271,13 @@
 		// to a peer that asked, or the turn to the next source if this one fails too.
 		return 0
 	}
-	wait := f.settings.Wait
-	if from != "" {
-		wait = min(wait, peerWaitMax)
+	if from == "" {
+		return jitter(f.settings.Wait)
 	}
-	return jitter(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest := gypsumrail.MillisOf(jitter(min(f.settings.Wait, peerWaitMax)))
+	return f.sources.PeerWait(f.clock.Now(), longest).Duration()
 }
 
 // watch reads the changes since the last read and reports whether there were any.
--- a/internal/node/source/source.go
+++ b/internal/node/source/source.go
@@ -38,8 +38,8 @@
 	// a lower bound for a node that peers rely on: while the store is away, the calls of
 	// the others are wasted, as they learn of its return from the readers.
 	storePauseMin       = 300 * gypsumrail.Millis(1)
-	storePauseMaxReader = 1200 * gypsumrail.Millis(1)
-	storePauseMax       = 2400 * gypsumrail.Millis(1)
+	storePauseMaxReader = 300 * gypsumrail.Millis(1)
+	storePauseMax       = 1200 * gypsumrail.Millis(1)
 )
 
 // Chooser chooses the source of the next read of one node. It is not safe for
@@ -127,6 +127,15 @@
 	return c.first || len(c.readers) == 0 || now < c.askedUntil
 }
 
+// PeerWait returns how long a read from a peer may wait. A node that reads the store for
+// its peers has to turn back to it as soon as its pause is over; for others it is longest.
+func (c *Chooser) PeerWait(now, longest gypsumrail.Millis) gypsumrail.Millis {
+	if !c.ReadsStore(now) {
+		return longest
+	}
+	return min(max(c.storeUntil-now, 0), longest)
+}
+
 // Asked records that a peer asks this node for its copy. It reports whether the node
 // has to turn to the store for that.
 func (c *Chooser) Asked(now gypsumrail.Millis) bool {
--- a/internal/node/source/source_test.go
+++ b/internal/node/source/source_test.go
@@ -97,3 +97,21 @@
 		t.Error("with instances of its zone, the node still reads from another zone")
 	}
 }
+
+// Pattern: the reader of a zone loses the store and is served by a peer meanwhile. Guards
+// against a reader that stays with the peer when the store may be tried again.
+func TestPeerWait(t *testing.T) {
+	list := zoneOf(3)
+	for i := range list {
+		c := New(list[i].Address, "z")
+		c.SetInstances(list)
+		c.Failed(1000, "")
+		want := gypsumrail.Millis(700)
+		if c.first {
+			want = 200
+		}
+		if got := c.PeerWait(1100, 700); got != want {
+			t.Errorf("reader %t: wait %d, want %d", c.first, got, want)
+		}
+	}
+}
