Send no calls to targets that a later start replaced

In 4 s nodes sent 388 calls to names that no longer exist, and 251 requests were refused as Misdirected; each node learned each name for itself. Change: of the instances at one address the directory returns the one that started last. Instances without a start are kept. Red before: TestListedReplaced.

--- a/member/listed.go
+++ b/member/listed.go
@@ -105,7 +105,8 @@
 	d.outage = !ok
 }
 
-// Upstreams returns the entries of one service, ordered by name.
+// Upstreams returns the entries of one service, ordered by name. It leaves out those at
+// whose address a later one started.
 func (d *Listed) Upstreams(service string) []gypsumrail.Instance { return d.byService[service] }
 
 // dropMissing removes the missing entries once recoveryTime has passed since the
@@ -140,13 +141,27 @@
 		d.order = append(d.order, e)
 	}
 	slices.SortFunc(d.order, func(a, b *listedEntry) int { return cmp.Compare(a.Name, b.Name) })
+	newest := d.newestStarts()
 	d.byService = make(map[string][]gypsumrail.Instance)
 	for _, e := range d.order {
-		d.byService[e.Service] = append(d.byService[e.Service], e.Instance)
+		if e.Incarnation == 0 || e.Incarnation == newest[e.Address] {
+			d.byService[e.Service] = append(d.byService[e.Service], e.Instance)
+		}
 	}
 	return true
 }
 
+// newestStarts returns the latest incarnation at each address. One target at a time runs
+// at an address, so those of earlier starts have ended, although the list may name them
+// for seconds.
+func (d *Listed) newestStarts() map[string]gypsumrail.Incarnation {
+	newest := make(map[string]gypsumrail.Incarnation, len(d.order))
+	for _, e := range d.order {
+		newest[e.Address] = max(newest[e.Address], e.Incarnation)
+	}
+	return newest
+}
+
 // Rumors returns nil: nodes exchange no rumors.
 func (d *Listed) Rumors(gypsumrail.Millis, int) []gypsumrail.Instance { return nil }
 
--- a/member/listed_test.go
+++ b/member/listed_test.go
@@ -97,3 +97,39 @@
 		t.Errorf("1.4 s after the outage (-want +got):\n%s", diff)
 	}
 }
+
+// Pattern: all targets lose power and start again under new names at their addresses,
+// or an address is used again by another service, and the list still names the earlier
+// ones. Guards against calls to instances that cannot exist any more, each of which a
+// target refuses as misdirected. An unknown start proves nothing.
+func TestListedReplaced(t *testing.T) {
+	entry := func(name, service, address string, start gypsumrail.Incarnation) gypsumrail.Instance {
+		return gypsumrail.Instance{Name: name, Service: service, Address: address, Incarnation: start, State: gypsumrail.Live}
+	}
+	old, next := entry("old", "s", "a:1", 10), entry("next", "s", "a:1", 20)
+	other, unknown := entry("other", "t", "a:1", 30), entry("unknown", "s", "a:1", 0)
+	elsewhere := entry("elsewhere", "s", "b:1", 5)
+	tests := []struct {
+		name string
+		list []gypsumrail.Instance
+		want []string // upstreams of s
+	}{
+		{"alone", []gypsumrail.Instance{old, elsewhere}, []string{"elsewhere", "old"}},
+		{"restarted", []gypsumrail.Instance{old, next, elsewhere}, []string{"elsewhere", "next"}},
+		{"restarted, later first", []gypsumrail.Instance{next, old}, []string{"next"}},
+		{"address used again", []gypsumrail.Instance{old, other, elsewhere}, []string{"elsewhere"}},
+		{"unknown start", []gypsumrail.Instance{old, unknown}, []string{"old", "unknown"}},
+		{"earlier one again", []gypsumrail.Instance{old}, []string{"old"}},
+	}
+	d := NewListed(gypsumrail.Instance{})
+	for i, test := range tests {
+		d.MergeList(gypsumrail.Millis(10_000*(i+1)), test.list)
+		var got []string
+		for _, u := range d.Upstreams("s") {
+			got = append(got, u.Name)
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
