Bound retries after a target's own 503 by AttemptsMax

Cause: a repeatable call whose target ran it and answered 429 or 503 was retried as after a refusal by a node, which is free: on up to 4 targets with an AttemptsMax of 1, outside the retry allowance and the retry budget. Change: such an answer counts as TargetBusy, an attempt that put load on a target. The retry still needs an upstream with room. Red before: TestAttemptsMaxAfterOverload (4 targets for AttemptsMax 1 and 2).

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -49,11 +49,12 @@
 // allowed, it retries the call instead.
 func (n *Node) attemptRan(s *senderCall, attempt int, result *gypsumrail.Result) {
 	overloaded := isOverloadStatus(result.Status)
-	if overloaded && s.class.Repeatable && n.mayRetry(s, gypsumrail.ReasonOverload) {
+	// TargetBusy is not a free refusal: the attempt put load on a target.
+	if overloaded && s.class.Repeatable && n.parts.Router.HasRoom(n.now, n.callChoice(s)) && n.mayRetry(s, gypsumrail.ReasonTargetBusy) {
 		s.attempts[attempt-1].open = false
 		n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: s.call, Attempt: attempt})
 		s.mayHaveRun = true
-		n.retry(s, gypsumrail.ReasonOverload)
+		n.retry(s, gypsumrail.ReasonTargetBusy)
 		return
 	}
 	if result.Status < http.StatusInternalServerError {
--- a/core/chain_test.go
+++ b/core/chain_test.go
@@ -113,3 +113,30 @@
 		t.Errorf("got %+v, want the call refused as NotRun with InvalidClass", got)
 	}
 }
+
+// Guards against retries beyond the AttemptsMax of a class after targets that ran the
+// call and answered that they are overloaded. Such a retry is not free: it puts load on
+// another target.
+func TestAttemptsMaxAfterOverload(t *testing.T) {
+	for _, attemptsMax := range []int{1, 2} {
+		n := plainNode(t, gypsumrail.Class{Service: "back", Repeatable: true, AttemptsMax: attemptsMax, Route: gypsumrail.Route{Host: "h", Prefix: "/"}})
+		answer := func(call gypsumrail.CallID, e gypsumrail.Effect, status int) gypsumrail.Effect {
+			return effectOf(n.Step(&gypsumrail.Event{
+				Kind: gypsumrail.AttemptAnswered, Call: call, Attempt: e.Attempt, At: 20,
+				Result: &gypsumrail.Result{Outcome: gypsumrail.Ran, Status: status, Report: &gypsumrail.Report{Instance: e.To.Name, Sequence: uint64(call), Limit: 10}},
+			}), gypsumrail.Forward, gypsumrail.Answer, gypsumrail.Refuse)
+		}
+		for call := gypsumrail.CallID(1); call <= 50; call++ { // all upstreams report that they have room
+			answer(call, arrive(n, call, 10), 200)
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.AnswerDone, Call: call, At: 20, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
+		}
+		e := arrive(n, 51, 20)
+		sent := 0
+		for ; e.Kind == gypsumrail.Forward && sent < 9; sent++ {
+			e = answer(51, e, 503)
+		}
+		if sent != attemptsMax || e.Kind != gypsumrail.Answer {
+			t.Errorf("AttemptsMax %d: sent to %d targets, then %s; want the last target's answer passed on", attemptsMax, sent, e.Kind)
+		}
+	}
+}
