Guard the members of the test fleet, and build messages without append

The race detector found that the followers of TestFaultsInEachOrder read the list of members while the test appended to it; the linter found an append to another slice.

--- a/internal/node/mirror/fleet_test.go
+++ b/internal/node/mirror/fleet_test.go
@@ -235,8 +235,10 @@
 type fleet struct {
 	t        *testing.T
 	platform *platform
-	members  []*member
 	began    time.Time
+
+	mu      sync.Mutex // only the test's goroutine changes members, and reads them without it
+	members []*member
 }
 
 // newFleet starts n nodes, each with an entry in the store, like a fleet that starts.
@@ -257,21 +259,28 @@
 		m.healed = time.Now()
 	}
 	ctx, m.cancel = context.WithCancel(ctx)
+	f.mu.Lock()
 	if i < len(f.members) {
 		f.members[i] = m
 	} else {
 		f.members = append(f.members, m)
 	}
+	f.mu.Unlock()
 	m.Follower = New(Settings{
 		Store: path{fleet: f, from: m}, Sources: source.New(m.address, "z"), Clock: clock{f.began}, Wait: 10 * time.Second,
-		Peers: func(address string) gypsumrail.Store {
-			return path{f, m, f.members[slices.IndexFunc(f.members, func(o *member) bool { return o.address == address })]}
-		},
+		Peers:   func(address string) gypsumrail.Store { return path{f, m, f.find(address)} },
 		Contact: func(err error) { m.set(func(m *member) { m.away = err != nil }) },
 	}, Part{"", func(items []gypsumrail.Item, revision uint64) { f.received(m, items, revision) }})
 	go m.Run(ctx)
 }
 
+// find returns the member with an address.
+func (f *fleet) find(address string) *member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[slices.IndexFunc(f.members, func(m *member) bool { return m.address == address })]
+}
+
 // received checks that a delivered copy brings nothing back.
 func (f *fleet) received(m *member, items []gypsumrail.Item, revision uint64) {
 	m.mu.Lock()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,7 +59,8 @@
 // the call holds already.
 func (x *httpExchange) setMessage(head, body []byte) {
 	direct := min(len(body), max(directWriteBytesMax-len(head), 0))
-	x.message, x.rest = append(head, body[:direct]...), body[direct:]
+	x.message = slices.Concat(head, body[:direct])
+	x.rest = body[direct:]
 }
 
 // do sends the request, reads its answer into response and returns the connection
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -24,7 +24,7 @@
 	c.attempts[e.Attempt-1] = a
 	c.active++
 	remaining := max(e.Deadline-now, 1)
-	message := make([]byte, 0, len(c.head)+min(len(c.body), directWriteBytesMax)+256)
+	message := make([]byte, 0, len(c.head)+256)
 	message = append(message, c.head...)
 	message = appendCall(message, c, e, remaining, r.revisions())
 	message = append(message, '\r', '\n')
@@ -124,7 +124,7 @@
 	if expectedTarget == "" {
 		expectedTarget = e.To.Name
 	}
-	message := make([]byte, 0, len(c.head)+min(len(c.body), directWriteBytesMax)+128)
+	message := make([]byte, 0, len(c.head)+128)
 	message = append(message, c.head...)
 	message = appendNumber(message, own.Remaining, int64(remaining))
 	if expectedTarget != "" {
