Say in the status from where a sidecar reads the platform

Cause: the status and log event 1101 of each sidecar said that it watches the platform for its zone, which is now true of one node a zone.

--- a/internal/node/admin/client.go
+++ b/internal/node/admin/client.go
@@ -38,6 +38,7 @@
 	Answers        int // answers kept to be sent again if their request is resent
 	Ready          bool
 	Watching       bool   // the node watches the platform; for plain requests, its last read of it succeeded
+	Source         string `json:",omitempty"` // for plain requests: the peer whose copy of the platform's store the node reads; empty for the store itself
 	LinesDropped   uint64 // log events dropped because the log was written too slowly
 	EventsDropped  uint64 // lines of /events that were not delivered, mostly to slow readers
 	RecordsInForce gypsumrail.Revision
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -57,7 +57,10 @@
 	if s.Node.Defaults {
 		words = append(words, "no records found, built-in defaults in use")
 	}
-	if s.Node.Reader {
+	switch {
+	case s.Node.Plain && s.Shell.Source != "":
+		words = append(words, "reads the platform from "+s.Shell.Source)
+	case s.Node.Plain, s.Node.Reader:
 		words = append(words, "reads the platform for its zone")
 	}
 	return strings.Join(words, "; ")
--- a/internal/node/mirror/copy.go
+++ b/internal/node/mirror/copy.go
@@ -99,3 +99,7 @@
 	slices.SortFunc(list, func(a, b gypsumrail.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return list, nil
 }
+
+// deliver calls Receive with the items in the order of their keys. Only Run's goroutine
+// changes the items, so it needs no lock to read them.
+func (p *partCopy) deliver() { p.Receive(p.sorted(), p.lastChange) }
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -15,9 +15,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -100,6 +98,7 @@
 	listed     bool               // false: the next read is a listing
 	confirmed  time.Time          // last successful read from the store itself
 	storeLost  bool               // the last read from the store itself failed
+	from       string             // source of the current or last read
 	cancelRead context.CancelFunc // ends the current read from a peer, or nil
 	changed    chan struct{}      // closed by signal
 }
@@ -169,6 +168,14 @@
 	}
 }
 
+// Source returns the address of the peer from which the node reads, or "" if it reads
+// the store itself.
+func (f *Follower) Source() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.from
+}
+
 func (f *Follower) hasReaders() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,6 +197,7 @@
 	defer cancel()
 	f.mu.Lock()
 	from = f.sources.Next(f.clock.Now())
+	f.from = from
 	listed := f.listed
 	if from != "" {
 		f.cancelRead = cancel
@@ -256,145 +264,6 @@
 	}
 }
 
-// timeout returns how long a source may take to answer beyond the time that it waits.
-func (f *Follower) timeout(from string) time.Duration {
-	if from != "" {
-		return responseTimeoutMin
-	}
-	return f.responseTimeout
-}
-
-// waitOf returns the waiting time of the next watch at a source.
-func (f *Follower) waitOf(from string) time.Duration {
-	if f.unreachable || from == "" && !f.isConfirmed() || from != "" && f.peerFailed {
-		// A watch that waits would delay the report that the platform is back, the answer
-		// to a peer that asked, or the turn to the next source if this one fails too.
-		return 0
-	}
-	if from == "" {
-		return jitter(f.settings.Wait)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	longest := gypsumrail.MillisOf(jitter(min(f.settings.Wait, peerWaitMax)))
-	return f.sources.PeerWait(f.clock.Now(), longest).Duration()
-}
-
-// watch reads the changes since the last read and reports whether there were any.
-func (f *Follower) watch(ctx context.Context, store gypsumrail.Store, from string) (bool, error) {
-	wait := f.waitOf(from)
-	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout(from))
-	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	if from == "" && wait > probeInterval {
-		go f.probe(ctx, stop)
-	}
-	changes, err := store.Changes(ctx, f.prefix, f.revision, wait)
-	switch {
-	case errors.Is(context.Cause(ctx), errWatchLost):
-		return false, nil // the next watch reads the change from the history
-	case err != nil:
-		return false, err //nolint:wrapcheck // the store's errors are this package's own
-	}
-	// Report the contact before the copy is delivered: the receiver treats items that
-	// were removed during an outage differently.
-	f.report(nil)
-	f.mu.Lock()
-	changed := make([]bool, len(f.parts))
-	for i := range changes.List {
-		change := &changes.List[i]
-		for j, part := range f.parts {
-			if strings.HasPrefix(change.Key, part.Prefix) {
-				changed[j] = part.apply(change) || changed[j]
-			}
-		}
-	}
-	// A response without changes does not advance the revision, because the watch may
-	// have missed a change that came before the response's revision. A later watch from
-	// the old revision reads that change from the history. If the history is gone, a
-	// new listing follows.
-	if len(changes.List) > 0 {
-		f.revision = max(f.revision, changes.Revision)
-		f.signal()
-	}
-	f.mu.Unlock()
-	for j, part := range f.parts {
-		if changed[j] {
-			part.deliver()
-		}
-	}
-	return len(changes.List) > 0, nil
-}
-
-// errBehind means that a peer's copy is older than the own one.
-var errBehind = errors.New("the peer's copy is older than this node's")
-
-// list lists all parts. The watch continues from the revision of the first page, so
-// it also reads the changes that happen during the listing. A listing of a peer that is
-// behind the own copy fails, as it would bring back what was removed.
-func (f *Follower) list(ctx context.Context, store gypsumrail.Store, from string) error {
-	items, revision, err := f.listAll(ctx, store, from)
-	if err != nil {
-		return err
-	}
-	if from != "" && revision < f.revision {
-		return fmt.Errorf("%w: %w", gypsumrail.ErrStoreUnavailable, errBehind)
-	}
-	f.report(nil)
-	f.mu.Lock()
-	f.revision, f.listed = revision, true
-	for i, part := range f.parts {
-		part.replace(items[i], revision)
-	}
-	f.signal()
-	f.mu.Unlock()
-	for _, part := range f.parts {
-		part.deliver()
-	}
-	return nil
-}
-
-// listAll reads all pages below the common prefix. It returns the items of each part
-// and the revision of the first page.
-func (f *Follower) listAll(ctx context.Context, store gypsumrail.Store, from string) ([]map[string]gypsumrail.Item, uint64, error) {
-	items := make([]map[string]gypsumrail.Item, len(f.parts))
-	for i := range items {
-		items[i] = make(map[string]gypsumrail.Item)
-	}
-	revision, after := uint64(0), ""
-	for {
-		page, err := f.page(ctx, store, from, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if revision == 0 {
-			revision = page.Revision
-		}
-		for _, item := range page.List {
-			for i, part := range f.parts {
-				if strings.HasPrefix(item.Key, part.Prefix) && len(items[i]) < itemsMax {
-					items[i][item.Key] = item
-				}
-			}
-		}
-		if !page.More || len(page.List) == 0 {
-			return items, revision, nil
-		}
-		after = page.List[len(page.List)-1].Key
-	}
-}
-
-func (f *Follower) page(ctx context.Context, store gypsumrail.Store, from, after string) (gypsumrail.Items, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout(from))
-	defer cancel()
-	return store.List(ctx, f.prefix, after) //nolint:wrapcheck // as in watch
-}
-
-// deliver calls Receive with the items in the order of their keys. Only Run's goroutine
-// changes the items, so it needs no lock to read them.
-func (p *partCopy) deliver() { p.Receive(p.sorted(), p.lastChange) }
-
 // sleep waits for the pause with jitter, or until ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause/2 + rand.N(pause)) //nolint:gosec // spreads load; needs no secure randomness
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -16,14 +16,6 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
-// Limits of client requests where the records set none.
-const (
-	defaultHeaderBytes = 8 << 10
-	defaultBodyBytes   = 1 << 20
-	defaultHeaderTime  = 10 * time.Second
-	defaultIdleTime    = 60 * time.Second
-)
-
 const (
 	// bodyReadTimeout is added to the header time for the reading of a body, which
 	// takes seconds on slow links.
@@ -169,37 +161,6 @@
 	_ = c.net.SetReadDeadline(until)
 }
 
-// limits returns the limits of the records in force, with the defaults where the
-// records set none.
-func (r *Relay) limits(origin gypsumrail.Origin) gypsumrail.Limits {
-	limits := gypsumrail.Limits{
-		HeaderBytes: defaultHeaderBytes, BodyBytes: defaultBodyBytes,
-		HeaderTime: gypsumrail.MillisOf(defaultHeaderTime), IdleTime: gypsumrail.MillisOf(defaultIdleTime),
-	}
-	if records := r.records.Load(); records != nil {
-		set := records.Limits
-		if set.HeaderBytes > 0 {
-			limits.HeaderBytes = set.HeaderBytes
-		}
-		if set.BodyBytes > 0 {
-			limits.BodyBytes = set.BodyBytes
-		}
-		if set.HeaderTime > 0 {
-			limits.HeaderTime = set.HeaderTime
-		}
-		if set.IdleTime > 0 {
-			limits.IdleTime = set.IdleTime
-		}
-	}
-	if origin == gypsumrail.FromPeer {
-		// A node adds its own headers to those of its client, and keeps connections
-		// for longer than clients do.
-		limits.HeaderBytes += defaultHeaderBytes
-		limits.IdleTime = gypsumrail.MillisOf(acceptedPeerIdleTimeout)
-	}
-	return limits
-}
-
 // readRequest reads one request within the limits in force. It returns nil and true
 // if the request was rejected, and false if the connection has to be closed.
 func (c *conn) readRequest(request *fasthttp.Request) (*call, bool) {
@@ -245,17 +206,6 @@
 	return k, true
 }
 
-// chunkedLength is the ContentLength that fasthttp reports for a chunked body.
-const chunkedLength = -1
-
-// countedBytes returns the bytes of a body that count towards largeBodyBytesMax.
-func countedBytes(size int) int64 {
-	if size <= largeBodyThreshold {
-		return 0
-	}
-	return int64(size)
-}
-
 // rejectUnreadable answers a request that could not be read, unless the caller closed
 // the connection. It always returns false: the connection has to be closed.
 func (c *conn) rejectUnreadable(err error) bool {
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -158,7 +158,7 @@
 		Node  any
 		Shell admin.Shell
 	}{node, admin.Shell{
-		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.platformLost.Load(), LinesDropped: r.log.Dropped(), EventsDropped: r.loop.Events().Dropped(),
+		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.platformLost.Load(), Source: r.follower.Source(), LinesDropped: r.log.Dropped(), EventsDropped: r.loop.Events().Dropped(),
 		RecordsInForce: r.revision(),
 	}})
 	r.mu.Unlock()
--- a/member/listed.go
+++ b/member/listed.go
@@ -194,8 +194,8 @@
 // Len returns the number of entries.
 func (d *Listed) Len() int { return len(d.entries) }
 
-// IsReader returns true: every node watches the platform itself.
-func (d *Listed) IsReader() bool { return true }
+// IsReader returns false: the part that reads the platform's list chooses its source.
+func (d *Listed) IsReader() bool { return false }
 
 // Merge does nothing: peers have no entries that are not from the list.
 func (d *Listed) Merge(gypsumrail.Millis, []gypsumrail.Instance) bool { return false }
