Take a change below other prefixes for no lost watch twice

Cause: a probe that shows a higher revision than the copy ends the watch. If the change is below a prefix that the copy does not have, the next watch returns nothing, and each probe ended it again. The platform's parts have no common prefix, so all changes reach the watch there; other catalogs are not so. Red before: TestChangesElsewhere (40 calls in 30 s, at most 10 wanted).

--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -95,6 +95,7 @@
 	sources    *source.Chooser
 	parts      []*partCopy
 	revision   uint64             // the next watch reads the changes after it
+	probed     uint64             // revision of the last probe that ended a watch
 	listed     bool               // false: the next read is a listing
 	confirmed  time.Time          // last successful read from the store itself
 	storeLost  bool               // the last read from the store itself failed
--- a/internal/node/mirror/probe.go
+++ b/internal/node/mirror/probe.go
@@ -35,8 +35,9 @@
 		case err != nil:
 			stop(err)
 			return
-		case revision > f.currentRevision():
+		case revision > f.knownRevision():
 			sleep(ctx, lostAfter)
+			f.setProbed(revision)
 			stop(errWatchLost)
 			return
 		}
@@ -50,10 +51,19 @@
 	return f.settings.Store.Revision(ctx) //nolint:wrapcheck // as in watch
 }
 
-func (f *Follower) currentRevision() uint64 {
+// knownRevision returns the revision up to which the copy is complete, or that of the
+// last probe that ended a watch. The next watch reads what was missing. If that was
+// nothing, the probe saw changes below other prefixes.
+func (f *Follower) knownRevision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return max(f.revision, f.probed)
+}
+
+func (f *Follower) setProbed(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probed = revision
 }
 
 // confirm records that the store answered.
--- a/internal/node/mirror/serve_test.go
+++ b/internal/node/mirror/serve_test.go
@@ -105,3 +105,28 @@
 		}
 	})
 }
+
+// busyElsewhere is a store in which only items of other prefixes change.
+type busyElsewhere struct{ *platform }
+
+func (b busyElsewhere) Revision(ctx context.Context) (uint64, error) {
+	revision, err := b.platform.Revision(ctx)
+	return revision + 100, err
+}
+
+// Pattern: others change the store all the time, below other prefixes. Guards against a
+// reader that takes each such change for a lost watch again and again.
+func TestChangesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		p := newPlatform()
+		p.change("r/1", false)
+		settings := Settings{Store: busyElsewhere{p}, Clock: clock{time.Now()}, Wait: 10 * time.Second, Contact: func(error) {}}
+		go New(settings, Part{"r/", func([]gypsumrail.Item, uint64) {}}).Run(ctx)
+		time.Sleep(30 * time.Second)
+		if calls := p.callCount(); calls > 10 {
+			t.Errorf("30 s without a change of the part cost %d calls", calls)
+		}
+	})
+}
