Do not pause between reads before a peer is known

The node paused for 75 to 225 ms after its first change; the store went down in that time, so the node knew no instance and no peer to read from. Change: it pauses after reads from the store only once it knows a peer. A fleet's start costs no more: the first entry ends that. Red before: TestFirstInstancesAtOnce.

--- a/internal/node/mirror/fleet_test.go
+++ b/internal/node/mirror/fleet_test.go
@@ -527,3 +527,17 @@
 		})
 	}
 }
+
+// Pattern: a node starts and loses the store soon afterwards. Guards against a pause
+// between reads in which it does not yet know a peer to turn to.
+func TestFirstInstancesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, t, 1)
+		time.Sleep(5 * time.Millisecond)
+		f.platform.change("i/10.0.0.9:1", false)
+		time.Sleep(5 * time.Millisecond)
+		f.checkApplied(t, "10 ms after the start")
+	})
+}
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -45,7 +45,8 @@
 	// arrives within 1.5 s.
 	peerWaitMax = 800 * time.Millisecond
 	// Pauses after a read that returned changes, from the store and from a peer. Changes
-	// that follow each other closely, as at the start of a fleet, then arrive together.
+	// that follow each other closely, as at the start of a fleet, then arrive together. A
+	// node that knows no peer yet does not pause: it has no other source if the store goes.
 	storeSettleTime = 150 * time.Millisecond
 	peerSettleTime  = 50 * time.Millisecond
 )
@@ -160,9 +161,9 @@
 		case err != nil:
 		default:
 			pause, failures = pauseMin, 0
-			if changes && from == "" {
+			if changes && from == "" && f.hasReaders() {
 				sleep(ctx, storeSettleTime)
-			} else if changes {
+			} else if changes && from != "" {
 				sleep(ctx, peerSettleTime)
 			}
 		}
