--- a/internal/node/source/source.go
+++ b/internal/node/source/source.go
@@ -34,8 +34,8 @@
 	// Bounds of the pause after a failure of a peer. It doubles with each failure.
 	peerPauseMin = gypsumrail.Second
 	peerPauseMax = 8 * gypsumrail.Second
-	// Bounds of the pause after a failure of the store. It doubles with each failure, to
-	// a lower bound for a node that peers rely on: while the store is away, the calls of
+	// Bounds of the pause after a failure of the store. It doubles with each failure,
+	// but stays short for a node that peers rely on: while the store is away, the calls of
 	// the others are wasted, as they learn of its return from the readers.
 	storePauseMin       = 300 * gypsumrail.Millis(1)
 	storePauseMaxReader = 300 * gypsumrail.Millis(1)
