Record what a target states about itself

A node could not show which rate its target states, so that the hypotheses of the incident (statement unread, limits kept by each sender alone, forgotten by a restart) could not be told apart. The head of each answer of the own target, also of refusals and of answers that break off, is now read for a rate limit and for leaving; the reducer logs changes (1204, 1303, 1304, 2407), and the status and the gauge gypsumrail_rate_limit show the limit. Nothing is decided by it yet.

Test: relay TestRateLimitStated.

--- a/core/core.go
+++ b/core/core.go
@@ -87,6 +87,7 @@
 	draining         bool
 	drainStarted     gypsumrail.Millis // start of the drain
 	stopped          bool              // the drain is complete
+	stated           statement         // of the own target
 	counts           Counts
 }
 
--- a/core/status.go
+++ b/core/status.go
@@ -15,9 +15,10 @@
 	Reader     bool // the node watches the platform on behalf of its zone
 	Draining   bool
 	Report     gypsumrail.Report
-	Sends      int // calls in the sender role
-	Serves     int // calls in the receiver role, queued ones included
-	Reserved   int // free slots that only calls of importance 8 and 9 may use
+	Sends      int     // calls in the sender role
+	Serves     int     // calls in the receiver role, queued ones included
+	RateLimit  float64 // calls a second that the own target takes; 0 if it states no rate limit
+	Reserved   int     // free slots that only calls of importance 8 and 9 may use
 	LedgerSize int
 	Instances  int
 	Services   []ServiceStatus
@@ -42,6 +43,7 @@
 		Report:     n.currentReport(),
 		Sends:      len(n.senderCalls),
 		Serves:     len(n.receiverCalls),
+		RateLimit:  n.stated.rateLimit,
 		Reserved:   n.reserve.slots(n.now, n.parts.Limiter.Limit(), n.settings.ReserveShare),
 		LedgerSize: n.parts.Ledger.Len(),
 		Instances:  n.parts.Directory.Len(),
--- a/effect.go
+++ b/effect.go
@@ -69,8 +69,11 @@
 	NoticeReaderStarted   Notice = 1101 // this node now watches the platform for its zone
 	NoticeReaderStopped   Notice = 1102 // this node no longer watches the platform
 	NoticeInstanceSuspect Notice = 1203
+	NoticeTargetLeaving   Notice = 1204 // the own target states that it is leaving
 	NoticeThresholdRaised Notice = 1301
 	NoticeThresholdZero   Notice = 1302
+	NoticeRateLimited     Notice = 1303 // the own target states a rate limit, or another one
+	NoticeRateUnlimited   Notice = 1304 // the own target no longer states a rate limit
 	NoticeUpstreamSilent  Notice = 1401
 	NoticeUpstreamLost    Notice = 1402 // neither its calls nor the probes of its node are answered
 	NoticeUpstreamBack    Notice = 1403
--- a/event.go
+++ b/event.go
@@ -94,6 +94,16 @@
 	Report        *Report  `json:",omitempty"`
 	Hints         []Hint   `json:",omitempty"`
 	Uses          []string `json:",omitempty"` // services that calls of the class have used below this one
+	Stated        *Stated  `json:",omitempty"` // TargetAnswered, TargetFailed: nil if no head arrived
+}
+
+// Stated is what a target states about itself in the head of an answer. Each answer
+// replaces what the ones before it stated.
+type Stated struct {
+	RateLimited bool    `json:",omitempty"` // the target states a rate limit
+	RateLimit   float64 `json:",omitempty"` // calls a second that the target takes from all callers together; at least 0
+	Unreadable  bool    `json:",omitempty"` // the rate limit is malformed, so the one stated before still applies
+	Leaving     bool    `json:",omitempty"` // the target is about to end
 }
 
 // Exchange is the control message between two nodes.
--- a/internal/node/meter/reducer.go
+++ b/internal/node/meter/reducer.go
@@ -123,6 +123,7 @@
 	} {
 		metrics.WriteGaugeUint64(w, "gypsumrail_"+g.name, uint64(g.value))
 	}
+	metrics.WriteGaugeFloat64(w, "gypsumrail_rate_limit", st.RateLimit)
 	for _, v := range st.Values {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("gypsumrail_revision{value=%q}", v.Name), uint64(v.Revision))
 		if age, ok := s.ages[v.Name]; ok {
--- a/internal/node/relay/headers.go
+++ b/internal/node/relay/headers.go
@@ -22,6 +22,8 @@
 	NotRun    string // on an answer: the target did not run the request
 	Origin    string // service of the machine where the user request began
 	Proof     string // on an answer: a target made it; a success without it is rejected as incomplete
+	RateLimit string // on an answer: calls a second that the target takes from all callers together, a decimal number
+	Leaving   string // on an answer: "1" if the target is about to end
 }
 
 // Headers between nodes.
--- a/internal/node/relay/notices.go
+++ b/internal/node/relay/notices.go
@@ -10,4 +10,6 @@
 	NoticeRequestRejected gypsumrail.Notice = 2404 // a request was rejected before it reached the reducer
 	NoticeTargetFailed    gypsumrail.Notice = 2405 // a run on this node's target returned no valid answer
 	NoticeReloaded        gypsumrail.Notice = 2406 // the settings were reloaded
+	// The rate limit that a target stated is malformed.
+	NoticeRateLimitUnreadable gypsumrail.Notice = 2407
 )
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -156,6 +156,7 @@
 		}
 		r.targets.CloseExpired()
 	}
+	result.Stated = r.readStated(&response.Header, c.request, err != nil)
 	if result.Reason != gypsumrail.ReasonNone {
 		r.log.Put(NoticeTargetFailed, c.request, result.Reason,
 			"Class="+c.arrival.Class+" Outcome="+string(result.Outcome)+countField(" Status", response.StatusCode())+errorField(err))
--- /dev/null
+++ b/internal/node/relay/stated_test.go
@@ -0,0 +1,94 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
+)
+
+// statusOf returns the status of a node's reducer.
+func statusOf(t *testing.T, s *sidecar) admin.Node {
+	t.Helper()
+	var status admin.Status
+	answer, err := http.Get("http://" + s.ports.Admin + "/status") //nolint:noctx // loopback
+	if err == nil {
+		err = json.NewDecoder(answer.Body).Decode(&status)
+		_ = answer.Body.Close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status.Node
+}
+
+// statedAnswer is the next answer of the target of singleNode.
+type statedAnswer struct {
+	head   string
+	status int
+	broken bool
+}
+
+// singleNode starts a node of service front, alone, whose target gives the answer that
+// the pointer holds.
+func singleNode(t *testing.T) (*sidecar, *atomic.Pointer[statedAnswer]) {
+	t.Helper()
+	next := &atomic.Pointer[statedAnswer]{}
+	own := newTarget(t, func(conn net.Conn, r *http.Request, _ string) {
+		a := next.Load()
+		length := len("ok")
+		if a.broken {
+			length++
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\nok", a.status, r.Header.Get("X-Id"), a.head, length)
+		if a.broken {
+			_ = conn.Close()
+		}
+	})
+	platform := newStore()
+	platform.put("records", testRecords(1))
+	s := startNode(t, "front", "front", own.listener.Addr().String(), platform)
+	platform.put("instances/f", gypsumrail.Instance{
+		Name: "f", Service: "front", Zone: "z", Address: s.ports.Peers, State: gypsumrail.Live, Slots: 4,
+	})
+	s.awaitReady(t)
+	return s, next
+}
+
+// Guards against a rate limit that a node misreads, or forgets because of an answer that
+// it cannot read. Refusals and answers that break off state one, too.
+func TestRateLimitStated(t *testing.T) {
+	entry, next := singleNode(t)
+	for i, test := range []struct {
+		answer statedAnswer
+		want   float64
+	}{
+		{statedAnswer{"X-Proof: p\r\n", 200, false}, 0},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 37.8\r\n", 200, false}, 37.8},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: many\r\n", 200, false}, 37.8},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: -1\r\n", 200, false}, 37.8},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: NaN\r\n", 200, false}, 37.8},
+		{statedAnswer{"X-Proof: p\r\n", 200, true}, 37.8},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 12\r\n", 200, true}, 12},
+		{statedAnswer{"X-Not-Run: 1\r\nX-Rate-Limit: 11\r\n", 503, false}, 11},
+		{statedAnswer{"X-Not-Run: 1\r\nX-Rate-Limit: 0\r\n", 429, false}, 0.5},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 1e999\r\n", 200, false}, math.MaxFloat64},
+		{statedAnswer{"X-Proof: p\r\n", 200, false}, 0},
+	} {
+		next.Store(&test.answer)
+		time.Sleep(2 * time.Millisecond) // the run must start in a later millisecond than the last answer
+		answer, _ := sendRequest(t, entry, http.MethodGet, "/own/x", fmt.Sprintf("r%d", i), "")
+		if diff := cmp.Diff(test.want, statusOf(t, entry).RateLimit); diff != "" {
+			t.Errorf("%+v, passed on with status %d: %s", test.answer, answer.StatusCode, diff)
+		}
+	}
+}
