Keep the rate that a target states, at its node

Cause: nothing read the statement. The class of fault is a back-pressure signal without a consumer; slots and refusals were the only ones known.

All requests for a target pass the node beside it, so the sum over all machines is known there without shared state, for both hops and for calls of targets. A token bucket gates the start of a run; what finds no token waits in the queue of the slots, so that threshold, importance and deadlines apply. Reports carry the rate, and routers count rate x latency as the upstream's limit, so work goes where there is room before it is refused. Senders give the rate back with each call, which a restarted node applies until its target's first answer.

--- a/core/lookup.go
+++ b/core/lookup.go
@@ -72,5 +72,6 @@
 		Threshold:   n.parts.Shedder.Threshold(),
 		Epoch:       n.parts.Ledger.Epoch(n.now),
 		Leaving:     n.draining,
+		RateLimit:   n.stated.rate.PerSecond(),
 	}
 }
--- a/core/send.go
+++ b/core/send.go
@@ -219,6 +219,7 @@
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Forward, Call: s.call, Attempt: len(s.attempts), To: upstream, Deadline: s.deadline,
 		Allowance: portion.Size(), Importance: s.importance, Invested: s.invested, Key: s.keyText, Kept: s.exempt,
+		RateLimit: n.parts.Router.RateLimit(n.now, upstream.Name),
 	}
 	if s.keyText != "" {
 		effect.HomeAttempt = attempt
--- a/core/serve.go
+++ b/core/serve.go
@@ -8,6 +8,7 @@
 // peerCallArrived adds a call that a peer forwarded to the receiver role.
 func (n *Node) peerCallArrived(call gypsumrail.CallID, arrival *gypsumrail.Arrival) {
 	n.recordCaller(arrival.From)
+	n.recordPeerRateLimit(arrival.RateLimit)
 	v := n.newReceiverCall(call)
 	v.service = arrival.Service
 	v.request = arrival.Request
@@ -74,7 +75,7 @@
 	}
 	n.parts.Shedder.Offered(n.now, v.level, true)
 	n.addReceiverCall(v)
-	if n.running < n.limitFor(v.importance) && n.parts.Queue.Ahead(v.level) == 0 {
+	if n.running < n.limitFor(v.importance) && n.parts.Queue.Ahead(v.level) == 0 && n.stated.rate.Ready(n.now) {
 		n.start(v)
 		return
 	}
@@ -119,18 +120,19 @@
 // because it only regulates the load on the other slots.
 func (n *Node) reservedSlotFree(v *receiverCall) bool {
 	return v.importance >= gypsumrail.ImportanceReserved &&
-		n.running < n.parts.Limiter.Limit() && n.parts.Queue.Ahead(v.level) == 0
+		n.running < n.parts.Limiter.Limit() && n.parts.Queue.Ahead(v.level) == 0 && n.stated.rate.Ready(n.now)
 }
 
 // expectedWait estimates how long a call waits for a slot, if all slots serve
-// the calls ahead of it in parallel.
+// the calls ahead of it in parallel, and for the rate limit of the target.
 func (n *Node) expectedWait(v *receiverCall) gypsumrail.Millis {
 	limit := n.limitFor(v.importance)
 	ahead := n.parts.Queue.Ahead(v.level)
+	wait := n.stated.rate.Wait(n.now, ahead)
 	if ahead == 0 && n.running < limit {
-		return 0
+		return wait
 	}
-	return gypsumrail.Millis(float64(ahead+1) * n.meanRunTime(v.class.Name) / float64(max(limit, 1)))
+	return max(wait, gypsumrail.Millis(float64(ahead+1)*n.meanRunTime(v.class.Name)/float64(max(limit, 1))))
 }
 
 // enqueue adds a call to the queue. If the queue is full, it refuses the call
@@ -167,6 +169,7 @@
 			return
 		}
 	}
+	n.stated.rate.Take(n.now)
 	n.running++
 	if v.importance >= gypsumrail.ImportanceReserved {
 		n.reserve.running++
@@ -180,7 +183,8 @@
 	})
 }
 
-// startQueued starts queued calls while slots are free. It first refuses the calls
+// startQueued starts queued calls while slots are free and the rate limit of the target
+// allows it. It first refuses the calls
 // that can no longer finish in time, so that no slot runs work whose caller has
 // stopped waiting.
 func (n *Node) startQueued() {
@@ -190,7 +194,7 @@
 		if n.running >= n.limitFor(gypsumrail.ImportanceMin) {
 			atLeast = gypsumrail.Level(gypsumrail.ImportanceReserved) * gypsumrail.LevelsPerImportance
 		}
-		if n.running >= n.parts.Limiter.Limit() {
+		if n.running >= n.parts.Limiter.Limit() || !n.stated.rate.Ready(n.now) {
 			return
 		}
 		waiting, ok := n.parts.Queue.Pop(n.now, atLeast)
--- a/core/status.go
+++ b/core/status.go
@@ -43,7 +43,7 @@
 		Report:     n.currentReport(),
 		Sends:      len(n.senderCalls),
 		Serves:     len(n.receiverCalls),
-		RateLimit:  n.stated.rateLimit,
+		RateLimit:  n.stated.rate.PerSecond(),
 		Reserved:   n.reserve.slots(n.now, n.parts.Limiter.Limit(), n.settings.ReserveShare),
 		LedgerSize: n.parts.Ledger.Len(),
 		Instances:  n.parts.Directory.Len(),
--- a/decide.go
+++ b/decide.go
@@ -107,6 +107,7 @@
 	Threshold   Level
 	Epoch       uint32 // current epoch of the ledger
 	Leaving     bool
+	RateLimit   float64 `json:",omitempty"` // calls a second that the target takes; 0 if it states no limit
 }
 
 // Choice holds the constraints for choosing one upstream.
@@ -145,6 +146,9 @@
 	// Failed records the end of an attempt that was not answered. Silent
 	// connections do not count against the target.
 	Failed(now Millis, upstream string, reason Reason)
+	// RateLimit returns the rate limit that an upstream reported of late, in calls a
+	// second, or 0.
+	RateLimit(now Millis, upstream string) float64
 	// Explain returns for each upstream of a service why it can or cannot be chosen.
 	Explain(now Millis, choice Choice) []Explained
 }
--- a/effect.go
+++ b/effect.go
@@ -10,7 +10,7 @@
 // has a key, and drops it otherwise. A Refuse with the outcome Ran and a Key is
 // replaced by the stored answer of that key if there is one.
 const (
-	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt
+	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt, RateLimit
 	RunTarget     EffectKind = "RunTarget"     // Call, To (if this node chose it), Deadline
 	Answer        EffectKind = "Answer"        // Call, Attempt (0: the node's target), Allowance, Report, Hints: return it to the caller
 	Refuse        EffectKind = "Refuse"        // Call, Outcome, Reason, RetryAfter, Allowance, Report, Hints, Key (with Ran), Keys (new ones)
@@ -41,6 +41,7 @@
 	Importance  Importance   `json:",omitempty"`
 	Invested    Millis       `json:",omitempty"`
 	Kept        bool         `json:",omitempty"` // Forward: the receiver does not apply its threshold to the call
+	RateLimit   float64      `json:",omitempty"` // Forward: the rate limit that the upstream last reported, in calls a second
 	Key         string       `json:",omitempty"`
 	HomeAttempt HomeAttempt  `json:",omitempty"`
 	Outcome     Outcome      `json:",omitempty"`
--- a/event.go
+++ b/event.go
@@ -81,6 +81,7 @@
 	Hop         int         `json:",omitempty"` // calls above this one in the chain
 	Kept        bool        `json:",omitempty"` // FromPeer: the threshold does not apply to the call
 	From        string      `json:",omitempty"` // FromPeer: name of the sending instance
+	RateLimit   float64     `json:",omitempty"` // FromPeer: the rate limit of this node's target that the sender knows, in calls a second
 }
 
 // Result describes the head of an answer, or the end of an attempt or of a run
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -272,6 +272,9 @@
 // parsePeer reads the call from the header of the sending node.
 func (c *conn) parsePeer(h *fasthttp.RequestHeader, k *call) bool {
 	theirs, err := parseCall(string(h.Peek(headerCall)), k)
+	if err == nil {
+		k.arrival.RateLimit, err = parseRateLimit(h.Peek(wire.HeaderRateLimit))
+	}
 	if err != nil {
 		c.reject(k.request, http.StatusBadRequest, wire.ReasonMalformed, true)
 		return false
--- a/internal/node/relay/headers.go
+++ b/internal/node/relay/headers.go
@@ -39,7 +39,7 @@
 // hopByHopHeaders are valid for one connection only and are not passed on.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", headerCall, headerAnswer,
+	"Transfer-Encoding", "Upgrade", "Expect", headerCall, headerAnswer, wire.HeaderRateLimit,
 }
 
 func appendHeader(dst []byte, name, value string) []byte {
@@ -126,7 +126,28 @@
 		dst = append(dst, ' ')
 	}
 	dst[len(dst)-1] = '\r'
-	return append(dst, '\n')
+	dst = append(dst, '\n')
+	return appendRateLimit(dst, e.RateLimit)
+}
+
+// appendRateLimit appends the header with the rate limit of a target, if it has one.
+func appendRateLimit(dst []byte, limit float64) []byte {
+	if limit == 0 {
+		return dst
+	}
+	return appendHeader(dst, wire.HeaderRateLimit, wire.FormatRateLimit(limit))
+}
+
+// parseRateLimit reads the header of appendRateLimit.
+func parseRateLimit(value []byte) (float64, error) {
+	if len(value) == 0 {
+		return 0, nil
+	}
+	limit, ok := wire.ParseRateLimit(string(value))
+	if !ok {
+		return 0, errHeader
+	}
+	return limit, nil
 }
 
 // Fields of the two headers. The first 5 of a call are names, and the first 3 of an
@@ -190,6 +211,7 @@
 	}
 	dst[len(dst)-1] = '\r'
 	dst = append(dst, '\n')
+	dst = appendRateLimit(dst, report.RateLimit)
 	if len(result.Hints) > 0 {
 		dst = appendHeader(dst, wire.HeaderHints, wire.FormatHints(result.Hints))
 	}
@@ -223,10 +245,14 @@
 		return gypsumrail.Result{}, revisions{}, err
 	}
 	result.RetryAfter, result.AllowanceLeft = gypsumrail.Millis(n[0]), int(n[1])
+	limit, err := parseRateLimit(h.Peek(wire.HeaderRateLimit))
+	if err != nil {
+		return gypsumrail.Result{}, revisions{}, err
+	}
 	if name != "" {
 		result.Report = &gypsumrail.Report{
 			Instance: name, Incarnation: gypsumrail.Incarnation(n[4]), Sequence: uint64(n[5]), Limit: int(n[6]),
-			InFlight: int(n[7]), Queued: int(n[8]), Threshold: gypsumrail.Level(n[9]), Epoch: uint32(n[10]), Leaving: n[11] == 1,
+			InFlight: int(n[7]), Queued: int(n[8]), Threshold: gypsumrail.Level(n[9]), Epoch: uint32(n[10]), Leaving: n[11] == 1, RateLimit: limit,
 		}
 	}
 	if hints := h.Peek(wire.HeaderHints); len(hints) > 0 {
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -155,11 +155,12 @@
 		}
 		s.mu.Lock()
 		s.runs = append(s.runs, r)
+		answer := s.answer
 		s.mu.Unlock()
 		if r.URL.Path == "/close" {
 			return
 		}
-		s.answer(conn, r, string(body))
+		answer(conn, r, string(body))
 	}
 }
 
--- a/internal/node/relay/stated.go
+++ b/internal/node/relay/stated.go
@@ -1,13 +1,12 @@
 package relay
 
 import (
-	"errors"
-	"math"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
 // readStated returns what a target states about itself in the head of an answer. An
@@ -23,12 +22,10 @@
 		}
 		return stated
 	}
-	limit, err := strconv.ParseFloat(value, 64) // beyond the range of numbers it is infinite
-	if errors.Is(err, strconv.ErrSyntax) || math.IsNaN(limit) || limit < 0 {
+	stated.RateLimit, stated.RateLimited = wire.ParseRateLimit(value)
+	if !stated.RateLimited {
 		stated.Unreadable = true
 		r.log.Put(NoticeRateLimitUnreadable, request, gypsumrail.ReasonNone, "RateLimit="+strconv.QuoteToASCII(value))
-		return stated
 	}
-	stated.RateLimited, stated.RateLimit = true, min(limit, math.MaxFloat64)
 	return stated
 }
--- a/internal/node/relay/stated_test.go
+++ b/internal/node/relay/stated_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -80,9 +79,9 @@
 		{statedAnswer{"X-Proof: p\r\n", 200, true}, 37.8},
 		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 12\r\n", 200, true}, 12},
 		{statedAnswer{"X-Not-Run: 1\r\nX-Rate-Limit: 11\r\n", 503, false}, 11},
-		{statedAnswer{"X-Not-Run: 1\r\nX-Rate-Limit: 0\r\n", 429, false}, 0.5},
-		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 1e999\r\n", 200, false}, math.MaxFloat64},
+		{statedAnswer{"X-Proof: p\r\nX-Rate-Limit: 1e999\r\n", 200, false}, 1e9},
 		{statedAnswer{"X-Proof: p\r\n", 200, false}, 0},
+		{statedAnswer{"X-Not-Run: 1\r\nX-Rate-Limit: 0\r\n", 429, false}, 0.5},
 	} {
 		next.Store(&test.answer)
 		time.Sleep(2 * time.Millisecond) // the run must start in a later millisecond than the last answer
@@ -92,3 +91,30 @@
 		}
 	}
 }
+
+// Guards against a restarted node that passes on whatever its senders send, because none
+// of them tells it the rate limit that it had reported.
+func TestRateLimitFromSenders(t *testing.T) {
+	rated := func(conn net.Conn, r *http.Request, body string) {
+		if r.Header.Get("Gypsumrail-Rate-Limit") != "" {
+			t.Error("the target got the header between nodes")
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Proof: p\r\nX-Rate-Limit: 30\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
+	}
+	entry, targets, platform := deployment(t, rated)
+	if _, text := sendRequest(t, entry, http.MethodPost, "/once/a", "r1", "x"); text != "x" {
+		t.Fatalf("got %q", text)
+	}
+	// Another node takes the place of the first one: it names the same instance.
+	other := startNode(t, "b0", "back", targets[1].listener.Addr().String(), platform)
+	platform.put("instances/b0", gypsumrail.Instance{Name: "b0", Service: "back", Zone: "z", Address: other.ports.Peers, State: gypsumrail.Live, Slots: 4})
+	other.awaitReady(t)
+	time.Sleep(300 * time.Millisecond)
+	targets[1].mu.Lock()
+	targets[1].answer = func(conn net.Conn, _ *http.Request, _ string) { _ = conn.Close() } // states nothing
+	targets[1].mu.Unlock()
+	_, _ = sendRequest(t, entry, http.MethodPost, "/once/b", "r2", "x")
+	if got := statusOf(t, other).RateLimit; got != 30 {
+		t.Errorf("the node knows the limit %g before its target's first answer, want 30", got)
+	}
+}
--- a/internal/node/shell/forward.go
+++ b/internal/node/shell/forward.go
@@ -28,6 +28,7 @@
 	out.Arrival.Allowance = e.Allowance
 	out.Arrival.Importance = e.Importance
 	out.Arrival.Invested = e.Invested
+	out.Arrival.RateLimit = e.RateLimit
 	out.Arrival.Key = e.Key
 	out.Arrival.HomeAttempt = e.HomeAttempt
 	header := c.header.Clone()
--- a/internal/node/shell/target.go
+++ b/internal/node/shell/target.go
@@ -61,7 +61,7 @@
 	if slots, busy, ok := wire.ParseLoad(answer.Header); ok {
 		s.step(&gypsumrail.Event{Kind: gypsumrail.TargetReported, Slots: slots, Busy: busy})
 	}
-	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: answer.StatusCode}
+	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: answer.StatusCode, Stated: wire.ReadStated(answer.Header)}
 	s.step(&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, Call: c.id, Result: &result})
 	waiting := r.answer != nil
 	r.answer = nil
--- a/internal/node/wire/answer.go
+++ b/internal/node/wire/answer.go
@@ -148,8 +148,12 @@
 }
 
 func formatReport(r *gypsumrail.Report) string {
-	return fmt.Sprintf("Instance=%s, Incarnation=%d, Sequence=%d, Limit=%d, InFlight=%d, Queued=%d, Threshold=%d, Epoch=%d, Leaving=%t",
+	text := fmt.Sprintf("Instance=%s, Incarnation=%d, Sequence=%d, Limit=%d, InFlight=%d, Queued=%d, Threshold=%d, Epoch=%d, Leaving=%t",
 		r.Instance, r.Incarnation, r.Sequence, r.Limit, r.InFlight, r.Queued, r.Threshold, r.Epoch, r.Leaving)
+	if r.RateLimit > 0 {
+		text += ", RateLimit=" + FormatRateLimit(r.RateLimit)
+	}
+	return text
 }
 
 func parseReport(value string) (*gypsumrail.Report, error) {
@@ -172,6 +176,11 @@
 	if m["Leaving"] != "true" && m["Leaving"] != "false" {
 		p.fail("Leaving")
 	}
+	if value, ok := m["RateLimit"]; ok { // nodes of earlier versions do not send it
+		if r.RateLimit, ok = ParseRateLimit(value); !ok {
+			p.fail("RateLimit")
+		}
+	}
 	if p.err != nil {
 		return nil, p.err
 	}
--- a/internal/node/wire/call.go
+++ b/internal/node/wire/call.go
@@ -52,6 +52,7 @@
 		a.Allowance = int(f.number(HeaderAllowance, 0, allowanceMax, 0, true))
 		a.Invested = gypsumrail.Millis(f.number(HeaderInvested, 0, int64(investedMax), 0, true))
 		a.Hop = int(f.number(HeaderHop, 0, hopMax, 0, true))
+		a.RateLimit = f.rateLimit()
 		a.HomeAttempt = gypsumrail.HomeAttempt(f.number(HeaderHomeAttempt, 1, homeAttemptMax, 0, a.Key != ""))
 		call.AttemptID = f.text(HeaderAttemptID, nameMax, true)
 		if node := f.single(HeaderNode, true); f.err == nil {
@@ -93,6 +94,10 @@
 	setNumber(h, HeaderAllowance, int64(a.Allowance), 0, allowanceMax)
 	setNumber(h, HeaderInvested, int64(a.Invested), 0, int64(investedMax))
 	setNumber(h, HeaderHop, int64(a.Hop), 0, hopMax)
+	h.Del(HeaderRateLimit)
+	if a.RateLimit > 0 {
+		h.Set(HeaderRateLimit, FormatRateLimit(a.RateLimit))
+	}
 	if a.Key != "" {
 		setNumber(h, HeaderHomeAttempt, int64(a.HomeAttempt), 1, homeAttemptMax)
 	}
--- a/internal/node/wire/fields.go
+++ b/internal/node/wire/fields.go
@@ -85,6 +85,19 @@
 	return n
 }
 
+// rateLimit returns the value of HeaderRateLimit, or 0 if there is none.
+func (f *headerReader) rateLimit() float64 {
+	value := f.single(HeaderRateLimit, false)
+	if value == "" {
+		return 0
+	}
+	limit, ok := ParseRateLimit(value)
+	if !ok {
+		f.fail(HeaderRateLimit, "must be a decimal number of at least 0")
+	}
+	return limit
+}
+
 // parseNumber parses a decimal number from low to high. If it cannot, it
 // returns low.
 func parseNumber(value string, low, high int64) (int64, bool) {
--- a/internal/node/wire/headers.go
+++ b/internal/node/wire/headers.go
@@ -20,6 +20,9 @@
 	HeaderAttempt   = "Gypsumrail-Attempt"
 	HeaderRequest   = "X-Request-Id"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderRateLimit is set by a target in its answers, and by nodes: the calls a second
+	// that the target takes from all callers together, a decimal number of at least 0.
+	HeaderRateLimit = "Gypsumrail-Rate-Limit"
 	HeaderCall      = "Gypsumrail-Call" // token that links a target's outgoing call to the call that it is running
 )
 
--- a/internal/node/wire/wire_test.go
+++ b/internal/node/wire/wire_test.go
@@ -22,7 +22,7 @@
 		Arrival: gypsumrail.Arrival{
 			Origin: gypsumrail.FromPeer, Service: "drawings", Class: "drawing", Tenant: "t1", Request: "r-1",
 			Attempt: 2, Remaining: 900, Key: "k-1", HomeAttempt: 513, Importance: 8, Allowance: 3,
-			Invested: 12, Hop: 2, From: "cutlist-1",
+			Invested: 12, Hop: 2, From: "cutlist-1", RateLimit: 0.3,
 		},
 		AttemptID: "id-1",
 		Sender:    sender,
@@ -69,6 +69,7 @@
 		{"importance 10", HeaderImportance, "10", gypsumrail.FromPeer},
 		{"no allowance", HeaderAllowance, "", gypsumrail.FromPeer},
 		{"negative invested", HeaderInvested, "-1", gypsumrail.FromPeer},
+		{"rate limit that is no number", HeaderRateLimit, "NaN", gypsumrail.FromPeer},
 		{"no attempt id", HeaderAttemptID, "", gypsumrail.FromPeer},
 		{"key without home attempt", HeaderHomeAttempt, "", gypsumrail.FromPeer},
 		{"no node", HeaderNode, "", gypsumrail.FromPeer},
@@ -135,7 +136,7 @@
 		Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonShed, Status: 429, AllowanceLeft: 2,
 		RetryAfter: 2 * gypsumrail.Second,
 		Report: &gypsumrail.Report{Instance: "a", Incarnation: 1 << 63, Sequence: 9, Limit: 8, InFlight: 7, Queued: 6,
-			Threshold: 500, Epoch: 4, Leaving: true},
+			Threshold: 500, Epoch: 4, Leaving: true, RateLimit: 37.8},
 		Hints: []gypsumrail.Hint{{Service: "x", Threshold: 10, Age: 20}, {Service: "y", Threshold: 30}},
 	}
 	h := http.Header{"Retry-After": {"2"}}
--- a/route/baseline.go
+++ b/route/baseline.go
@@ -119,6 +119,9 @@
 // Failed does nothing.
 func (*baseline) Failed(gypsumrail.Millis, string, gypsumrail.Reason) {}
 
+// RateLimit returns 0: the baselines ignore reports.
+func (*baseline) RateLimit(gypsumrail.Millis, string) float64 { return 0 }
+
 // Explain returns for each upstream whether it is usable, in the order of the list.
 func (b *baseline) Explain(_ gypsumrail.Millis, choice gypsumrail.Choice) []gypsumrail.Explained {
 	var out []gypsumrail.Explained
--- a/route/results.go
+++ b/route/results.go
@@ -108,10 +108,20 @@
 	}
 	u.reported, u.reportedAt, u.sequence = true, now, report.Sequence
 	u.limit, u.queued, u.threshold = report.Limit, max(report.Queued, 0), report.Threshold
+	u.rateLimit = report.RateLimit
 	// The reported calls include this sender's own.
 	u.others = max(float64(report.InFlight)+float64(u.queued)-float64(u.outstanding), 0)
 }
 
+// RateLimit returns the rate limit that an upstream reported of late, in calls a second,
+// or 0.
+func (r *Router) RateLimit(now gypsumrail.Millis, name string) float64 {
+	if u := r.upstreams[name]; u != nil {
+		return u.rateLimitAt(r.advance(now))
+	}
+	return 0
+}
+
 // restart records a later incarnation and resets the statistics of the earlier
 // run. Outstanding calls of that run stay counted until they end. The first known
 // incarnation is not a restart.
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -14,6 +15,9 @@
 	// limitMaxAge is the age at which the limit of the records replaces a reported
 	// limit. It is longer because limits change slowly and the two may differ much.
 	limitMaxAge = 10 * gypsumrail.Second
+	// rateMaxAge is the age at which a reported rate limit expires. It covers the restart
+	// of a node, which learns the limit of its target from its senders.
+	rateMaxAge = 30 * gypsumrail.Second
 	// idleTime is the time without calls over which the latency of an upstream moves
 	// to that of its service. Otherwise an upstream that was slow once would never be
 	// chosen again while there is little traffic.
@@ -54,6 +58,7 @@
 	others     float64 // calls of other senders at reportedAt, running or queued
 	queued     int
 	threshold  gypsumrail.Level
+	rateLimit  float64 // calls a second; 0 if the target states none
 
 	failures     int // consecutive
 	ejections    int // consecutive
@@ -128,9 +133,28 @@
 	return u.others * (1 - float64(age)/float64(reportMaxAge))
 }
 
-// limitAt returns the reported limit, capped by that of the records. Without a
-// report younger than limitMaxAge it returns the limit of the records.
+// limitAt returns how many calls the upstream can have at once: its slots, or less if its
+// target states a rate limit. By Little's law that allows rate × latency calls at once.
 func (u *upstream) limitAt(now gypsumrail.Millis) int {
+	slots := u.slotsAt(now)
+	rate := u.rateLimitAt(now)
+	if rate == 0 {
+		return slots
+	}
+	return int(min(float64(slots), max(1, math.Ceil(rate*u.latencyAt(now)/float64(gypsumrail.Second)))))
+}
+
+// rateLimitAt returns the reported rate limit in calls a second, or 0.
+func (u *upstream) rateLimitAt(now gypsumrail.Millis) float64 {
+	if !u.reported || now-u.reportedAt >= rateMaxAge {
+		return 0
+	}
+	return u.rateLimit
+}
+
+// slotsAt returns the reported limit, capped by that of the records. Without a
+// report younger than limitMaxAge it returns the limit of the records.
+func (u *upstream) slotsAt(now gypsumrail.Millis) int {
 	if !u.reported || u.limit <= 0 || now-u.reportedAt >= limitMaxAge {
 		return max(u.Slots, 1)
 	}
