Send no calls to a target that stated that it is leaving

A target that leaves says so in its answers. Nothing read that: only the platform's list counted, which may be out of date for as long as the store is away, and which may drop an entry and show it again as it was before.

Each node now reads the statement in the answers that it passes on, which the target made for exactly the instance that the node chose. The directory keeps the departure by name and incarnation, beyond the entry itself, until the list shows a later incarnation, so that neither a stale list nor one that lost the entry brings it back.

Tests, seen to fail: relay TestStatedLeaving (50 calls), member TestListedDeparture.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -27,6 +27,9 @@
 	t.open = answered
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.recordAnswer(t.upstream, s.service, s.class.Name, result)
+	if result.Stated != nil && result.Stated.Leaving {
+		n.recordLeaving(t.upstream)
+	}
 	switch {
 	case answered:
 		n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
--- a/core/stated.go
+++ b/core/stated.go
@@ -9,34 +9,44 @@
 
 // statement is what the own target states about itself.
 type statement struct {
-	heard   bool // the target has answered since the node started
-	rate    limit.Rate
-	rateAt  gypsumrail.Millis // time of the last answer with a rate limit
-	leaving bool
+	heard  bool // the target has answered since the node started
+	rate   limit.Rate
+	rateAt gypsumrail.Millis // time of the last answer with a rate limit
 }
 
-// recordStated records what the own target stated in the answer to a run that started
-// at the given time. A run ends the rate limit only if it started after the last answer
-// with one: answers that were made before it may arrive after it.
-func (n *Node) recordStated(started gypsumrail.Millis, stated *gypsumrail.Stated) {
+// recordStated records what the own target stated in the answer to a call. A call ends the
+// rate limit only if its run started after the last answer with one: answers that were made
+// before it may arrive after it.
+func (n *Node) recordStated(v *receiverCall, stated *gypsumrail.Stated) {
 	if stated == nil {
 		return
 	}
 	n.stated.heard = true
-	if stated.Leaving && !n.stated.leaving {
-		n.stated.leaving = true
-		n.notice(gypsumrail.NoticeTargetLeaving, n.self.Name, gypsumrail.ReasonNone)
+	if stated.Leaving {
+		upstream := n.self
+		if v.local {
+			upstream = v.chosen
+		}
+		n.recordLeaving(upstream)
 	}
 	switch {
 	case stated.Unreadable:
 	case stated.RateLimited:
 		n.setRateLimit(stated.RateLimit)
-	case n.stated.rate.PerSecond() > 0 && started > n.stated.rateAt:
+	case n.stated.rate.PerSecond() > 0 && v.started > n.stated.rateAt:
 		n.stated.rate.Set(n.now, 0)
 		n.notice(gypsumrail.NoticeRateUnlimited, n.self.Name, gypsumrail.ReasonNone)
 	}
 }
 
+// recordLeaving records that an upstream's target stated that it is leaving. From then on
+// the router chooses it for no call, also while the platform's list is out of date.
+func (n *Node) recordLeaving(upstream gypsumrail.Instance) {
+	if n.parts.Directory.MarkLeaving(n.now, upstream.Name, upstream.Incarnation) {
+		n.notice(gypsumrail.NoticeTargetLeaving, upstream.Name, gypsumrail.ReasonNone)
+	}
+}
+
 // recordPeerRateLimit applies the rate limit of the own target that a sender knows, until
 // the target's first answer. Otherwise a restarted node would pass on whatever the senders
 // of the whole fleet send until then.
--- a/core/target.go
+++ b/core/target.go
@@ -14,7 +14,7 @@
 		n.counts.Dropped++
 		return
 	}
-	n.recordStated(v.started, event.Result.Stated)
+	n.recordStated(v, event.Result.Stated)
 	if v.canceled {
 		return
 	}
@@ -71,7 +71,7 @@
 		n.counts.Dropped++
 		return
 	}
-	n.recordStated(v.started, event.Result.Stated)
+	n.recordStated(v, event.Result.Stated)
 	outcome, reason := event.Result.Outcome, event.Result.Reason
 	n.endRun(v, !v.canceled)
 	if v.keyed {
--- a/effect.go
+++ b/effect.go
@@ -70,7 +70,7 @@
 	NoticeReaderStarted   Notice = 1101 // this node now watches the platform for its zone
 	NoticeReaderStopped   Notice = 1102 // this node no longer watches the platform
 	NoticeInstanceSuspect Notice = 1203
-	NoticeTargetLeaving   Notice = 1204 // the own target states that it is leaving
+	NoticeTargetLeaving   Notice = 1204 // the target of an instance states that it is leaving
 	NoticeThresholdRaised Notice = 1301
 	NoticeThresholdZero   Notice = 1302
 	NoticeRateLimited     Notice = 1303 // the own target states a rate limit, or another one
--- a/event.go
+++ b/event.go
@@ -95,7 +95,7 @@
 	Report        *Report  `json:",omitempty"`
 	Hints         []Hint   `json:",omitempty"`
 	Uses          []string `json:",omitempty"` // services that calls of the class have used below this one
-	Stated        *Stated  `json:",omitempty"` // TargetAnswered, TargetFailed: nil if no head arrived
+	Stated        *Stated  `json:",omitempty"` // by a target; nil if no head of its answer arrived
 }
 
 // Stated is what a target states about itself in the head of an answer. Each answer
--- a/internal/node/logs/table.go
+++ b/internal/node/logs/table.go
@@ -52,7 +52,7 @@
 		"a control message to the instance in `Subject` got no answer; the instance is now suspect",
 		"check the instance and the network to it; a healthy instance refutes the suspicion by itself"},
 	{gypsumrail.NoticeTargetLeaving, "TargetLeaving", log.InfoLevel, "target is leaving",
-		"the own target states in its answers that it is about to end", "nothing"},
+		"the target of the instance in `Subject` stated in an answer that it is about to end; it gets no more calls from this node", "nothing"},
 	{gypsumrail.NoticeThresholdRaised, "ThresholdRaised", log.WarnLevel, "shedding started",
 		"the queue delay of the own target stays too long, so calls of low importance are refused",
 		"check the target and the demand; add instances if this lasts"},
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -55,6 +55,7 @@
 			event.Kind, event.Result = gypsumrail.AttemptAnswered, &result
 			r.checkPeerRevisions(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
+				result.Stated = r.readStated(&response.Header, false)
 				got = takeAnswer(response, c.isHead)
 			}
 		}
@@ -156,7 +157,10 @@
 		}
 		r.targets.CloseExpired()
 	}
-	result.Stated = r.readStated(&response.Header, c.request, err != nil)
+	result.Stated = r.readStated(&response.Header, err != nil)
+	if result.Stated != nil && result.Stated.Unreadable {
+		r.logUnreadable(&response.Header, c.request)
+	}
 	if result.Reason != gypsumrail.ReasonNone {
 		r.log.Put(NoticeTargetFailed, c.request, result.Reason,
 			"Class="+c.arrival.Class+" Outcome="+string(result.Outcome)+countField(" Status", response.StatusCode())+errorField(err))
--- a/internal/node/relay/stated.go
+++ b/internal/node/relay/stated.go
@@ -11,21 +11,23 @@
 
 // readStated returns what a target states about itself in the head of an answer. An
 // answer that broke off may have no head, so it counts only if it states something, and
-// readStated returns nil otherwise. A malformed or negative rate limit is logged.
-func (r *Relay) readStated(h *fasthttp.ResponseHeader, request string, broken bool) *gypsumrail.Stated {
+// readStated returns nil otherwise.
+func (r *Relay) readStated(h *fasthttp.ResponseHeader, broken bool) *gypsumrail.Stated {
 	own := &r.settings.Headers
 	stated := &gypsumrail.Stated{Leaving: string(h.Peek(own.Leaving)) == "1"}
 	value := string(h.Peek(own.RateLimit))
-	if value == "" {
-		if broken && !stated.Leaving {
-			return nil
-		}
-		return stated
-	}
-	stated.RateLimit, stated.RateLimited = wire.ParseRateLimit(value)
-	if !stated.RateLimited {
-		stated.Unreadable = true
-		r.log.Put(NoticeRateLimitUnreadable, request, gypsumrail.ReasonNone, "RateLimit="+strconv.QuoteToASCII(value))
+	switch {
+	case value != "":
+		stated.RateLimit, stated.RateLimited = wire.ParseRateLimit(value)
+		stated.Unreadable = !stated.RateLimited
+	case broken && !stated.Leaving:
+		return nil
 	}
 	return stated
 }
+
+// logUnreadable logs the malformed rate limit in an answer to a request.
+func (r *Relay) logUnreadable(h *fasthttp.ResponseHeader, request string) {
+	value := string(h.Peek(r.settings.Headers.RateLimit))
+	r.log.Put(NoticeRateLimitUnreadable, request, gypsumrail.ReasonNone, "RateLimit="+strconv.QuoteToASCII(value))
+}
--- a/internal/node/relay/stated_test.go
+++ b/internal/node/relay/stated_test.go
@@ -118,3 +118,27 @@
 		t.Errorf("the node knows the limit %g before its target's first answer, want 30", got)
 	}
 }
+
+// Guards against new calls to a target that stated that it is leaving (DRAIN), while the
+// platform's list still has it as it was.
+func TestStatedLeaving(t *testing.T) {
+	leaving := func(conn net.Conn, r *http.Request, _ string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Proof: p\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	}
+	entry, targets, _ := deployment(t, leaving, writeEcho)
+	for i := 0; targets[1].count() == 0; i++ {
+		if answer, _ := sendRequest(t, entry, http.MethodPost, "/once/a", fmt.Sprintf("r%d", i), ""); answer.StatusCode != http.StatusOK || i == 100 {
+			t.Fatalf("request %d: status %d, and none went to the leaving target", i, answer.StatusCode)
+		}
+	}
+	time.Sleep(150 * time.Millisecond) // the router gets a changed directory within 100 ms
+	before := targets[1].count()
+	for i := range 50 {
+		if answer, _ := sendRequest(t, entry, http.MethodPost, "/once/b", fmt.Sprintf("s%d", i), ""); answer.StatusCode != http.StatusOK {
+			t.Errorf("status %d", answer.StatusCode)
+		}
+	}
+	if got := targets[1].count() - before; got > 0 {
+		t.Errorf("%d calls reached the target after it stated that it leaves, want none", got)
+	}
+}
--- a/member.go
+++ b/member.go
@@ -67,6 +67,9 @@
 	// RecordState records the incarnation and state that an instance reported about
 	// itself, and reports whether anything changed.
 	RecordState(now Millis, observed Instance) bool
+	// MarkLeaving records that the target of an instance stated that it is leaving, which is
+	// final for this incarnation, and reports whether that is new.
+	MarkLeaving(now Millis, name string, incarnation Incarnation) bool
 	// MarkSuspect records that an instance did not answer, and reports whether its
 	// entry changed.
 	MarkSuspect(now Millis, name string) bool
--- a/member/listed.go
+++ b/member/listed.go
@@ -26,11 +26,27 @@
 	order      []*listedEntry // sorted by name
 	byService  map[string][]gypsumrail.Instance
 	generation uint64
-	outage     bool              // the platform cannot be read
-	recovered  gypsumrail.Millis // when the last outage ended
-	missing    int               // entries whose missing field is set
+	left       map[string]departure // by name: targets that stated that they are leaving
+	outage     bool                 // the platform cannot be read
+	recovered  gypsumrail.Millis    // when the last outage ended
+	missing    int                  // entries whose missing field is set
 }
 
+// departure is a target's own statement that it is leaving. It outlives the entry: the
+// list may drop an entry and show it again as it was before the statement.
+type departure struct {
+	incarnation gypsumrail.Incarnation
+	statedAt    gypsumrail.Millis // last statement
+}
+
+const (
+	// departureTime is how long after its last statement a departure is kept. A target
+	// ends within seconds, and the list lags by the longest outage of the platform.
+	departureTime = 10 * gypsumrail.Minute
+	// departuresMax bounds the departures that are kept.
+	departuresMax = 4096
+)
+
 type listedEntry struct {
 	gypsumrail.Instance
 	missing bool // the list lost it in an outage; it is kept until recoveryTime has passed
@@ -41,7 +57,7 @@
 // NewListed returns a directory without entries for the node of one target. The
 // target is identified in the list by its service and the address of its node.
 func NewListed(self gypsumrail.Instance) *Listed {
-	return &Listed{self: self, entries: make(map[string]*listedEntry), recovered: -recoveryTime}
+	return &Listed{self: self, entries: make(map[string]*listedEntry), left: make(map[string]departure), recovered: -recoveryTime}
 }
 
 // Self returns the entry of the node's target, or the instance given to NewListed
@@ -145,7 +161,11 @@
 	d.byService = make(map[string][]gypsumrail.Instance)
 	for _, e := range d.order {
 		if e.Incarnation == 0 || e.Incarnation == newest[e.Address] {
-			d.byService[e.Service] = append(d.byService[e.Service], e.Instance)
+			entry := e.Instance
+			if departed, ok := d.left[e.Name]; ok && departed.incarnation >= e.Incarnation {
+				entry.State = gypsumrail.Leaving
+			}
+			d.byService[e.Service] = append(d.byService[e.Service], entry)
 		}
 	}
 	return true
@@ -165,8 +185,32 @@
 // Rumors returns nil: nodes exchange no rumors.
 func (d *Listed) Rumors(gypsumrail.Millis, int) []gypsumrail.Instance { return nil }
 
-// Expire drops the missing entries once recoveryTime has passed since the outage.
-func (d *Listed) Expire(now gypsumrail.Millis) { d.rebuild(d.dropMissing(now)) }
+// Expire drops the missing entries once recoveryTime has passed since the outage, and
+// departures after departureTime.
+func (d *Listed) Expire(now gypsumrail.Millis) {
+	for name, departed := range d.left {
+		if now-departed.statedAt >= departureTime {
+			delete(d.left, name)
+		}
+	}
+	d.rebuild(d.dropMissing(now))
+}
+
+// MarkLeaving records that the target of an instance stated that it is leaving. Its entry
+// counts as leaving from then on, whatever the list shows, until the list shows a later
+// incarnation. It returns whether the statement is new.
+func (d *Listed) MarkLeaving(now gypsumrail.Millis, name string, incarnation gypsumrail.Incarnation) bool {
+	known, ok := d.left[name]
+	if ok && known.incarnation >= incarnation || !ok && len(d.left) >= departuresMax {
+		known.statedAt = now
+		if ok {
+			d.left[name] = known
+		}
+		return false
+	}
+	d.left[name] = departure{incarnation, now}
+	return d.rebuild(true)
+}
 
 // Lookup returns the entry of a name, and whether there is one.
 func (d *Listed) Lookup(name string) (gypsumrail.Instance, bool) {
--- a/member/listed_test.go
+++ b/member/listed_test.go
@@ -55,6 +55,46 @@
 	}
 }
 
+// Guards against new calls to a target that stated that it is leaving (DRAIN): the list may
+// show it as before for as long as the platform is away, drop it, and show it again. A later
+// incarnation under the same name counts anew.
+func TestListedDeparture(t *testing.T) {
+	d := NewListed(gypsumrail.Instance{Name: "self", Service: "s", Address: "self:1"})
+	list := listOf("a", "b")
+	list[0].Incarnation = 7
+	d.MergeList(0, list)
+	check := func(at gypsumrail.Millis, want ...gypsumrail.State) {
+		t.Helper()
+		var got []gypsumrail.State
+		for _, i := range d.Upstreams("s") {
+			got = append(got, i.State)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("at %d (-want +got):\n%s", at, diff)
+		}
+	}
+	generation := d.Generation()
+	if !d.MarkLeaving(10, "a", 7) || d.MarkLeaving(20, "a", 7) || d.Generation() == generation {
+		t.Error("the first statement must change the directory, and the second must not")
+	}
+	check(20, gypsumrail.Leaving, gypsumrail.Live)
+	d.MergeList(1000, listOf("b"))
+	d.MergeList(2000, list)
+	check(2000, gypsumrail.Leaving, gypsumrail.Live)
+	d.MarkLeaving(3000, "c", 0) // not listed yet
+	d.MergeList(4000, append(listOf("b", "c"), list[0]))
+	check(4000, gypsumrail.Leaving, gypsumrail.Live, gypsumrail.Leaving)
+	list[0].Incarnation = 8
+	d.MergeList(5000, list)
+	check(5000, gypsumrail.Live, gypsumrail.Live)
+	d.MergeList(6000, listOf("c"))
+	d.Expire(3000 + departureTime - 1)
+	check(3000+departureTime-1, gypsumrail.Leaving)
+	d.Expire(3000 + departureTime)
+	d.MergeList(3000+departureTime, listOf("c", "d"))
+	check(3000+departureTime, gypsumrail.Live, gypsumrail.Live)
+}
+
 // Fails if Self returns the entry of an earlier run of the node's target or of
 // another service, or if Partner returns the node itself.
 func TestListedSelf(t *testing.T) {
--- a/member/merge.go
+++ b/member/merge.go
@@ -99,6 +99,11 @@
 	return false
 }
 
+// MarkLeaving merges that an instance is leaving. It reports whether the entry changed.
+func (d *Directory) MarkLeaving(now gypsumrail.Millis, name string, incarnation gypsumrail.Incarnation) bool {
+	return d.RecordState(now, gypsumrail.Instance{Name: name, Incarnation: incarnation, State: gypsumrail.Leaving})
+}
+
 // RecordState merges what an instance reported about itself to this node, and reports
 // whether anything changed. Fields that are empty or zero were not reported; an
 // entry without incarnation is ignored. An unknown instance is added only if its
