Order the store's revisions across its eras

Cause: revisions go back and are given out again, and every place that orders them takes the larger number (class of fault: a counter compared across the restarts of its source). Each place for itself would need to know the era.

The adapter reads the era in the header of each answer and hands on positions, the era above the revision (gypsumrail.Position), so that what compares numbers is right: copies, reads from peers, the list in force, the revisions on calls. A watch from a position of an earlier era ends as one whose history is gone, also where the store would still know its revision. A peer may be ahead by some eras. The copy may show what had left: the directory keeps departures beyond the entries (member/departures.go); those stated by an entry are final for the incarnation, dropped entries count as left for 10 s after a restore, as they lapse by then. An entry that the copy lacks stays as after an outage. Event 1004 logs a restore. Configurations keep the order of their versions.

The test of departures now counts the 10 minutes from the last time that the departure was seen in the list as well, as the code does.

--- a/core/config.go
+++ b/core/config.go
@@ -22,7 +22,9 @@
 // instancesRead merges an instance list of the platform into the directory, if its
 // revision is newer than the current one.
 func (n *Node) instancesRead(event *gypsumrail.Event) {
+	before := n.parts.Values.Current(gypsumrail.ValueInstances).Revision
 	if n.adopt(event) {
+		n.noteRestore(before, event.Value.Revision)
 		n.reportAdoption(event, n.listedStates.changes(event.Instances))
 		n.listedStates = statesOf(event.Instances)
 		n.parts.Directory.MergeList(n.now, event.Instances)
@@ -30,6 +32,21 @@
 	}
 }
 
+// noteRestore tells the directory and the log if an instance list is the first of a later
+// era of the platform's store.
+func (n *Node) noteRestore(before, now gypsumrail.Revision) {
+	eraBefore, _ := gypsumrail.SplitPosition(uint64(before))
+	era, _ := gypsumrail.SplitPosition(uint64(now))
+	if before == 0 || era == eraBefore {
+		return
+	}
+	n.parts.Directory.PlatformRestored(n.now)
+	n.emit(gypsumrail.Effect{
+		Kind: gypsumrail.Log, Notice: gypsumrail.NoticePlatformRestored, Subject: n.self.Name,
+		Detail: "Era=" + strconv.FormatUint(era, 10),
+	})
+}
+
 // setPlatformReachable records whether the platform can be read. While it cannot, the
 // node starts exchanges at the interval GossipAway, because peers may have newer
 // values. The first exchange does not wait for the rest of the current interval.
@@ -62,13 +79,26 @@
 func (n *Node) reportAdoption(event *gypsumrail.Event, changes string) {
 	n.emit(gypsumrail.Effect{
 		Kind: gypsumrail.Log, Notice: gypsumrail.NoticeRevisionAdopted, Subject: string(event.Value.Name),
-		Detail: "Revision=" + strconv.FormatUint(uint64(event.Value.Revision), 10) + changes,
+		Detail: formatVersion(event.Value) + changes,
 	})
 	if n.settings.GossipEvery > 0 {
 		n.announce(event)
 	}
 }
 
+// formatVersion returns the revision of a value for a log line. That of an instance list
+// is a position of the platform's store.
+func formatVersion(version gypsumrail.ValueVersion) string {
+	revision, prefix := uint64(version.Revision), ""
+	if version.Name == gypsumrail.ValueInstances {
+		var era uint64
+		if era, revision = gypsumrail.SplitPosition(revision); era > 0 {
+			prefix = "Era=" + strconv.FormatUint(era, 10) + " "
+		}
+	}
+	return prefix + "Revision=" + strconv.FormatUint(revision, 10)
+}
+
 // announce sends an exchange to up to announceMax random peers, so that they pull
 // the adopted value. Without regular gossip, all nodes watch the platform, and
 // announcements are not needed: a node that cannot read the platform starts
--- a/core/config_test.go
+++ b/core/config_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -90,3 +91,39 @@
 		t.Errorf("log details of the adopted lists (-want +got): %s", diff)
 	}
 }
+
+// Guards against an instance list that is ignored after the platform's store came back from
+// an older copy, because its revision is lower than the one in force (CONFIG, DRAIN), and
+// against calls to an instance that had left and that the copy lists again.
+func TestListOfRestoredPlatform(t *testing.T) {
+	instance := func(name string) gypsumrail.Instance {
+		return gypsumrail.Instance{Name: name, Service: "back", Zone: "z", Address: name, Incarnation: 7, State: gypsumrail.Live, Slots: 4}
+	}
+	self := gypsumrail.Instance{Name: "front-1", Service: "front", Zone: "z", Address: "127.0.0.1:1", State: gypsumrail.Live}
+	n := setup.NewPlainNode(self, setup.PlainSettings{})
+	read := func(at gypsumrail.Millis, era, revision uint64, list ...gypsumrail.Instance) gypsumrail.Effect {
+		return effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, At: at, Instances: list, Value: gypsumrail.ValueVersion{
+			Name: gypsumrail.ValueInstances, Revision: gypsumrail.Revision(gypsumrail.Position(era, revision)),
+		}}), gypsumrail.Log)
+	}
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: &gypsumrail.Records{
+		Revision: 1, Services: map[string]*gypsumrail.Service{"front": {Name: "front"}, "back": {Name: "back"}},
+		Classes: map[string]*gypsumrail.Class{"c": {Name: "c", Service: "back", Unkeyed: true, Deadline: gypsumrail.Second}},
+	}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
+	read(0, 1, 90, self, instance("stays"), instance("left"))
+	read(1000, 1, 100, self, instance("stays"))
+	if log := read(5000, 2, 91, self, instance("stays"), instance("left"), instance("added")); log.Notice != gypsumrail.NoticePlatformRestored {
+		t.Errorf("the list of the copy is logged as %d (%s)", log.Notice, log.Detail)
+	}
+	chosen := map[string]bool{}
+	for call := range gypsumrail.CallID(200) {
+		sent := effectOf(n.Step(&gypsumrail.Event{
+			Kind: gypsumrail.CallArrived, Call: call + 1, At: 5200 + gypsumrail.Millis(call), Random: uint64(call) * 0x9E3779B97F4A7C15,
+			Arrival: &gypsumrail.Arrival{Origin: gypsumrail.FromCaller, Class: "c", Request: fmt.Sprint(call), Attempt: 1},
+		}), gypsumrail.Forward)
+		chosen[sent.To.Name] = true
+	}
+	if diff := cmp.Diff(map[string]bool{"stays": true, "added": true}, chosen); diff != "" {
+		t.Errorf("chosen (-want +got):\n%s", diff)
+	}
+}
--- a/effect.go
+++ b/effect.go
@@ -64,23 +64,24 @@
 
 // Notices of the reducer. Those of the shell start at 2000.
 const (
-	NoticeRevisionAdopted Notice = 1001 // a new revision is in force
-	NoticeRevisionIgnored Notice = 1002 // the offered revision was lower or too far ahead
-	NoticeDefaultsInUse   Notice = 1003 // no revision was found in time
-	NoticeReaderStarted   Notice = 1101 // this node now watches the platform for its zone
-	NoticeReaderStopped   Notice = 1102 // this node no longer watches the platform
-	NoticeInstanceSuspect Notice = 1203
-	NoticeTargetLeaving   Notice = 1204 // the target of an instance states that it is leaving
-	NoticeThresholdRaised Notice = 1301
-	NoticeThresholdZero   Notice = 1302
-	NoticeRateLimited     Notice = 1303 // the own target states a rate limit, or another one
-	NoticeRateUnlimited   Notice = 1304 // the own target no longer states a rate limit
-	NoticeUpstreamSilent  Notice = 1401
-	NoticeUpstreamLost    Notice = 1402 // neither its calls nor the probes of its node are answered
-	NoticeUpstreamBack    Notice = 1403
-	NoticePaused          Notice = 1501 // the process was paused; queued work is checked again
-	NoticeDrainStarted    Notice = 1601
-	NoticeDrainComplete   Notice = 1602
-	NoticeUnknownAnswer   Notice = 1701 // an answer for an unknown call or attempt was dropped
-	NoticeLedgerFull      Notice = 1801
+	NoticeRevisionAdopted  Notice = 1001 // a new revision is in force
+	NoticeRevisionIgnored  Notice = 1002 // the offered revision was lower or too far ahead
+	NoticeDefaultsInUse    Notice = 1003 // no revision was found in time
+	NoticePlatformRestored Notice = 1004 // the platform came back from an older copy
+	NoticeReaderStarted    Notice = 1101 // this node now watches the platform for its zone
+	NoticeReaderStopped    Notice = 1102 // this node no longer watches the platform
+	NoticeInstanceSuspect  Notice = 1203
+	NoticeTargetLeaving    Notice = 1204 // the target of an instance states that it is leaving
+	NoticeThresholdRaised  Notice = 1301
+	NoticeThresholdZero    Notice = 1302
+	NoticeRateLimited      Notice = 1303 // the own target states a rate limit, or another one
+	NoticeRateUnlimited    Notice = 1304 // the own target no longer states a rate limit
+	NoticeUpstreamSilent   Notice = 1401
+	NoticeUpstreamLost     Notice = 1402 // neither its calls nor the probes of its node are answered
+	NoticeUpstreamBack     Notice = 1403
+	NoticePaused           Notice = 1501 // the process was paused; queued work is checked again
+	NoticeDrainStarted     Notice = 1601
+	NoticeDrainComplete    Notice = 1602
+	NoticeUnknownAnswer    Notice = 1701 // an answer for an unknown call or attempt was dropped
+	NoticeLedgerFull       Notice = 1801
 )
--- a/internal/node/values/values.go
+++ b/internal/node/values/values.go
@@ -26,6 +26,9 @@
 	// A revision counts publications. At 1,900 changes a day a fleet needs more
 	// than a year for this many, so a peer that is further ahead is faulty.
 	defaultJumpMax = 1 << 20
+	// eraJumpMax is how many eras a peer may be ahead. An era ends when the platform is
+	// restored from a copy, which is rare.
+	eraJumpMax = 64
 	// The shell does not report a failed fetch. So a fetch that takes longer counts as
 	// failed, and the next offer is fetched, also from another source.
 	defaultFetchTimeout = 2 * gypsumrail.Second
@@ -124,13 +127,26 @@
 	if known == nil || version.Revision == 0 || compare(version, known.current) <= 0 {
 		return nil
 	}
-	if peer && known.current.Revision != 0 && version.Revision-known.current.Revision > v.settings.JumpMax {
+	if peer && known.current.Revision != 0 && !v.isPlausible(known.current, version) {
 		v.rejectedJumps++
 		return nil
 	}
 	return known
 }
 
+// isPlausible reports whether a peer may have a version, given the one in force. An
+// instance list may also be of one of the next eras of the platform's store, in which
+// revisions start anew.
+func (v *Values) isPlausible(current, version gypsumrail.ValueVersion) bool {
+	if version.Name == gypsumrail.ValueInstances {
+		before, _ := gypsumrail.SplitPosition(uint64(current.Revision))
+		if era, _ := gypsumrail.SplitPosition(uint64(version.Revision)); era != before {
+			return era-before <= eraJumpMax
+		}
+	}
+	return version.Revision-current.Revision <= v.settings.JumpMax
+}
+
 // Wants reports whether an offered version should be fetched, and if so records that
 // the fetch has started. The parameter peer is false if the platform offered it. While
 // a fetch runs, only a higher version is fetched. A fetch whose version is not adopted
--- a/internal/node/values/values_test.go
+++ b/internal/node/values/values_test.go
@@ -14,6 +14,10 @@
 	return gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: revision, Hash: hash}
 }
 
+func listAt(era, revision uint64) gypsumrail.ValueVersion {
+	return gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: gypsumrail.Revision(gypsumrail.Position(era, revision))}
+}
+
 // Guards against a fetch that is repeated while it runs, or not repeated after it
 // failed. Also guards against the adoption of an older, refused or implausibly high
 // version.
@@ -43,6 +47,8 @@
 			{"Adopt", 0, records(1<<63, 1), true, false}, {"Wants", 0, records(far, 1), true, true}, {"Adopt", 0, records(far, 1), true, true}}},
 		{"jump of the platform", []step{{"Adopt", 0, records(7, 1), true, true}, {"Wants", 0, records(far+1, 1), false, true}, {"Adopt", 0, records(far+1, 1), false, true}}},
 		{"jump with nothing in force", []step{{"Wants", 0, records(far+1, 1), true, true}, {"Adopt", 0, records(far+1, 1), true, true}}},
+		{"a later era of a peer's list", []step{{"Adopt", 0, listAt(1, 90), true, true}, {"Wants", 0, listAt(2, 8), true, true}, {"Adopt", 0, listAt(2, 8), true, true},
+			{"Adopt", 0, listAt(1, 99), true, false}, {"Adopt", 0, listAt(66, 1), true, true}, {"Adopt", 0, listAt(131, 1), true, false}}},
 		{"revision zero", []step{{"Wants", 0, records(0, 9), false, false}, {"Adopt", 0, records(0, 9), false, false}}},
 		{"unknown value", []step{{"Adopt", 0, gypsumrail.ValueVersion{Name: "Other", Revision: 7}, false, false}}},
 		{"refused contents", []step{{"Wants", 0, records(7, 1), true, true}, {"Refuse", 1, records(7, 1), true, false}, {"Wants", 9000, records(7, 1), true, false},
--- a/member.go
+++ b/member.go
@@ -92,6 +92,9 @@
 	IsReader() bool
 	// Generation returns a number that increases with each change of the directory.
 	Generation() uint64
+	// PlatformRestored records that the platform came back from an older copy: what it
+	// publishes may be older than what it published before.
+	PlatformRestored(now Millis)
 	// SetPlatformReachable records whether the platform can be read.
 	SetPlatformReachable(now Millis, ok bool)
 	// Expire drops expired entries. It is called at each tick.
--- a/member/listed.go
+++ b/member/listed.go
@@ -26,27 +26,12 @@
 	order      []*listedEntry // sorted by name
 	byService  map[string][]gypsumrail.Instance
 	generation uint64
-	left       map[string]departure // by name: targets that stated that they are leaving
-	outage     bool                 // the platform cannot be read
-	recovered  gypsumrail.Millis    // when the last outage ended
-	missing    int                  // entries whose missing field is set
+	departures departures
+	outage     bool              // the platform cannot be read
+	recovered  gypsumrail.Millis // when the last outage ended
+	missing    int               // entries whose missing field is set
 }
 
-// departure is a target's own statement that it is leaving. It outlives the entry: the
-// list may drop an entry and show it again as it was before the statement.
-type departure struct {
-	incarnation gypsumrail.Incarnation
-	statedAt    gypsumrail.Millis // last statement
-}
-
-const (
-	// departureTime is how long after its last statement a departure is kept. A target
-	// ends within seconds, and the list lags by the longest outage of the platform.
-	departureTime = 10 * gypsumrail.Minute
-	// departuresMax bounds the departures that are kept.
-	departuresMax = 4096
-)
-
 type listedEntry struct {
 	gypsumrail.Instance
 	missing bool // the list lost it in an outage; it is kept until recoveryTime has passed
@@ -57,7 +42,7 @@
 // NewListed returns a directory without entries for the node of one target. The
 // target is identified in the list by its service and the address of its node.
 func NewListed(self gypsumrail.Instance) *Listed {
-	return &Listed{self: self, entries: make(map[string]*listedEntry), left: make(map[string]departure), recovered: -recoveryTime}
+	return &Listed{self: self, entries: make(map[string]*listedEntry), departures: newDepartures(), recovered: -recoveryTime}
 }
 
 // Self returns the entry of the node's target, or the instance given to NewListed
@@ -82,6 +67,7 @@
 	for i := range list {
 		listed := &list[i]
 		named[listed.Name] = true
+		changed = d.departures.listed(now, listed) || changed
 		known := d.entries[listed.Name]
 		switch {
 		case known == nil:
@@ -101,12 +87,31 @@
 			e.missing = true
 			continue
 		}
-		delete(d.entries, name)
+		d.remove(now, e)
 		changed = true
 	}
 	return d.rebuild(changed)
 }
 
+func (d *Listed) remove(now gypsumrail.Millis, e *listedEntry) {
+	d.departures.unlisted(now, &e.Instance)
+	delete(d.entries, e.Name)
+}
+
+// MarkLeaving records that the target of an instance stated that it is leaving. Its entry
+// counts as leaving from then on, whatever the list shows, until the list shows a later
+// incarnation. It returns whether the statement is new.
+func (d *Listed) MarkLeaving(now gypsumrail.Millis, name string, incarnation gypsumrail.Incarnation) bool {
+	return d.rebuild(d.departures.stated(now, name, incarnation))
+}
+
+// PlatformRestored records that the next list may be older than the last one. Entries that
+// it lacks are kept as after an outage, and those that had left stay out of use.
+func (d *Listed) PlatformRestored(now gypsumrail.Millis) {
+	d.recovered = now
+	d.departures.restoredAt = now
+}
+
 // recovering reports whether the platform is in an outage, or was in one less than
 // recoveryTime ago.
 func (d *Listed) recovering(now gypsumrail.Millis) bool {
@@ -131,9 +136,9 @@
 	if d.missing == 0 || d.recovering(now) {
 		return false
 	}
-	for name, e := range d.entries {
+	for _, e := range d.entries {
 		if e.missing {
-			delete(d.entries, name)
+			d.remove(now, e)
 		}
 	}
 	return true
@@ -162,7 +167,7 @@
 	for _, e := range d.order {
 		if e.Incarnation == 0 || e.Incarnation == newest[e.Address] {
 			entry := e.Instance
-			if departed, ok := d.left[e.Name]; ok && departed.incarnation >= e.Incarnation {
+			if d.departures.has(&entry) {
 				entry.State = gypsumrail.Leaving
 			}
 			d.byService[e.Service] = append(d.byService[e.Service], entry)
@@ -188,28 +193,8 @@
 // Expire drops the missing entries once recoveryTime has passed since the outage, and
 // departures after departureTime.
 func (d *Listed) Expire(now gypsumrail.Millis) {
-	for name, departed := range d.left {
-		if now-departed.statedAt >= departureTime {
-			delete(d.left, name)
-		}
-	}
-	d.rebuild(d.dropMissing(now))
-}
-
-// MarkLeaving records that the target of an instance stated that it is leaving. Its entry
-// counts as leaving from then on, whatever the list shows, until the list shows a later
-// incarnation. It returns whether the statement is new.
-func (d *Listed) MarkLeaving(now gypsumrail.Millis, name string, incarnation gypsumrail.Incarnation) bool {
-	known, ok := d.left[name]
-	if ok && known.incarnation >= incarnation || !ok && len(d.left) >= departuresMax {
-		known.statedAt = now
-		if ok {
-			d.left[name] = known
-		}
-		return false
-	}
-	d.left[name] = departure{incarnation, now}
-	return d.rebuild(true)
+	listed := func(name string) bool { return d.entries[name] != nil }
+	d.rebuild(d.departures.expire(now, listed) || d.dropMissing(now))
 }
 
 // Lookup returns the entry of a name, and whether there is one.
--- a/member/listed_test.go
+++ b/member/listed_test.go
@@ -88,11 +88,57 @@
 	d.MergeList(5000, list)
 	check(5000, gypsumrail.Live, gypsumrail.Live)
 	d.MergeList(6000, listOf("c"))
-	d.Expire(3000 + departureTime - 1)
-	check(3000+departureTime-1, gypsumrail.Leaving)
-	d.Expire(3000 + departureTime)
-	d.MergeList(3000+departureTime, listOf("c", "d"))
-	check(3000+departureTime, gypsumrail.Live, gypsumrail.Live)
+	const seen = 5000 // when the list dropped c
+	d.Expire(seen + departureTime - 1)
+	check(seen+departureTime-1, gypsumrail.Leaving)
+	d.Expire(seen + departureTime)
+	d.MergeList(seen+departureTime, listOf("c", "d"))
+	check(seen+departureTime, gypsumrail.Live, gypsumrail.Live)
+}
+
+// Guards against new calls to instances that had left (DRAIN) after the platform's store
+// came back from an older copy, which shows them as they were. Also guards against the loss
+// of instances that the copy does not have yet, and against one that stays out of use
+// although it lives.
+func TestListedAfterRestore(t *testing.T) {
+	list := func(names ...string) []gypsumrail.Instance {
+		entries := listOf(names...)
+		for i := range entries {
+			entries[i].Incarnation = 5
+		}
+		return entries
+	}
+	d := NewListed(gypsumrail.Instance{Name: "self", Service: "s", Address: "self:1"})
+	check := func(at gypsumrail.Millis, want map[string]gypsumrail.State) {
+		t.Helper()
+		got := make(map[string]gypsumrail.State)
+		for _, i := range d.Upstreams("s") {
+			got[i.Name] = i.State
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("at %d (-want +got):\n%s", at, diff)
+		}
+	}
+	const live, leaving = gypsumrail.Live, gypsumrail.Leaving
+	d.MergeList(0, list("drained", "gone", "lapsed", "lives"))
+	d.MergeList(1000, list("drained", "gone", "lives"))
+	d.MergeList(2000, list("drained", "gone", "lapsed", "lives")) // back by itself
+	check(2000, map[string]gypsumrail.State{"drained": live, "gone": live, "lapsed": live, "lives": live})
+	draining := list("drained", "lapsed", "lives", "added")
+	draining[0].State = leaving
+	d.MergeList(3000, draining)
+	d.MergeList(4000, list("lapsed", "lives", "added"))
+	d.PlatformRestored(5000)
+	d.MergeList(5000, list("drained", "gone", "lapsed", "lives"))
+	check(5000, map[string]gypsumrail.State{"drained": leaving, "gone": leaving, "lapsed": live, "lives": live, "added": live})
+	d.MergeList(6500, list("drained", "gone", "lapsed", "lives", "added")) // written again
+	d.Expire(5000 + lapseTime - 1)
+	check(5000+lapseTime-1, map[string]gypsumrail.State{"drained": leaving, "gone": leaving, "lapsed": live, "lives": live, "added": live})
+	// An entry that is still listed is one that lives. What stated that it leaves does not.
+	d.Expire(5000 + lapseTime)
+	check(5000+lapseTime, map[string]gypsumrail.State{"drained": leaving, "gone": live, "lapsed": live, "lives": live, "added": live})
+	d.MergeList(40_000, append(list("lives"), gypsumrail.Instance{Name: "drained", Service: "s", Zone: "z", Address: "drained:1", Incarnation: 6, State: live}))
+	check(40_000, map[string]gypsumrail.State{"drained": live, "lives": live})
 }
 
 // Fails if Self returns the entry of an earlier run of the node's target or of
--- a/store.go
+++ b/store.go
@@ -11,7 +11,8 @@
 	// ErrStoreUnavailable means that the store gave no answer or an invalid one.
 	ErrStoreUnavailable = errors.New("the platform's store gave no usable answer")
 	// ErrHistoryGone means that the store has compacted the changes since the
-	// requested revision. The reader must list again.
+	// requested revision, or that the revision is of an earlier era. The reader must
+	// list again.
 	ErrHistoryGone = errors.New("the platform's store has dropped its history")
 )
 
@@ -19,19 +20,20 @@
 type Item struct {
 	Key      string
 	Data     []byte
-	Revision uint64 // of its last change
+	Revision uint64 // of its last change; a Position
 	Removed  bool
 }
 
 // Items is one page of a listing, or the changes that a watch returned.
 type Items struct {
 	List     []Item
-	Revision uint64 // of the store when it answered
+	Revision uint64 // of the store when it answered; a Position
 	More     bool   // the listing continues after the last key
 }
 
-// Store reads the platform's key-value store. Implementations are safe for
-// concurrent use. Errors wrap ErrStoreUnavailable or ErrHistoryGone.
+// Store reads the platform's key-value store. Its revisions are Positions, which never go
+// back, also if the store does. Implementations are safe for concurrent use. Errors wrap
+// ErrStoreUnavailable or ErrHistoryGone.
 type Store interface {
 	// List returns a page of the items below a prefix, from the first key greater
 	// than after. The pages together are not a snapshot: each has its own revision.
