List after a probe saw what the watch did not

At 1.34 s a probe returned revision 22 where the copy had 20, so the watch was ended at 1.55 s and begun again, within that second, and it heard nothing until 6.84 s. The next probes returned 19: stale reads lag from 2.0 s on. The revision of the first probe counted as known although no read had returned the change, so nothing asked again.

The class of fault: an observation is taken as handled when the attempt to handle it begins, and a source that may lag is the only one asked. Now a listing, which is no notification, follows such a probe.

--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -73,7 +73,7 @@
 	Sources *source.Chooser                       // nil: the store only
 	Clock   gypsumrail.Clock
 	// Wait is the longest wait of a watch at the store. Each one waits for a random
-	// time between its half and Wait. Cheaper probes show meanwhile whether the store
+	// time of at least three quarters of it. Cheaper probes show meanwhile whether the store
 	// can be reached and whether the watch missed a change.
 	Wait    time.Duration
 	Contact Contact
@@ -97,7 +97,9 @@
 	parts      []*partCopy
 	revision   uint64             // the next watch reads the changes after it
 	probed     uint64             // revision of the last probe that ended a watch
-	listed     bool               // false: the next read is a listing
+	lagging    bool               // the last probe was a stale read that was older than the copy
+	listed     bool               // there is a copy that a watch can go on from
+	relist     bool               // the next read is a listing, although there is a copy
 	confirmed  time.Time          // last successful read from the store itself
 	storeLost  bool               // the last read from the store itself failed
 	from       string             // source of the current or last read
@@ -200,7 +202,7 @@
 	f.mu.Lock()
 	from = f.sources.Next(f.clock.Now())
 	f.from = from
-	listed := f.listed
+	listed := f.listed && !f.relist
 	if from != "" {
 		f.cancelRead = cancel
 	}
--- a/internal/node/mirror/read.go
+++ b/internal/node/mirror/read.go
@@ -26,7 +26,7 @@
 		return 0
 	}
 	if from == "" {
-		return jitter(f.settings.Wait)
+		return f.settings.Wait/2 + jitter(f.settings.Wait/2)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -47,7 +47,11 @@
 	changes, err := store.Changes(ctx, f.prefix, f.revision, wait)
 	switch {
 	case errors.Is(context.Cause(ctx), errWatchLost):
-		return false, nil // the next watch reads the change from the history
+		// Another watch could miss the change as well: the store may notify nobody.
+		f.mu.Lock()
+		f.relist = true
+		f.mu.Unlock()
+		return false, nil
 	case err != nil:
 		return false, err //nolint:wrapcheck // the store's errors are this package's own
 	}
@@ -97,7 +101,10 @@
 	}
 	f.report(nil)
 	f.mu.Lock()
-	f.revision, f.listed = revision, true
+	f.revision, f.listed, f.relist = revision, true, false
+	if from != "" {
+		f.probed = 0 // the peer's copy may lack what the probe saw
+	}
 	for i, part := range f.parts {
 		part.replace(items[i], revision)
 	}
--- a/internal/node/mirror/serve.go
+++ b/internal/node/mirror/serve.go
@@ -79,7 +79,7 @@
 }
 
 // Revision implements gypsumrail.Store for peers.
-func (f *Follower) Revision(ctx context.Context) (uint64, error) {
+func (f *Follower) Revision(ctx context.Context, _ bool) (uint64, error) {
 	if err := f.awaitConfirmed(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/node/peer/read.go
+++ b/internal/node/peer/read.go
@@ -70,7 +70,7 @@
 }
 
 // Revision implements gypsumrail.Store.
-func (r remoteStore) Revision(ctx context.Context) (uint64, error) {
+func (r remoteStore) Revision(ctx context.Context, _ bool) (uint64, error) {
 	items, err := r.Changes(ctx, "", math.MaxUint64, 0)
 	return items.Revision, err
 }
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -19,7 +19,7 @@
 // watchWaitMax is the longest wait of a watch request at the store. It bounds the time
 // until a change takes effect that neither the watch nor the probes during it showed;
 // see package mirror.
-const watchWaitMax = 10 * time.Second
+const watchWaitMax = 15 * time.Second
 
 // newFollower returns the follower of the records and the instances in the platform's
 // store, which reads them there or from a peer.
--- a/store.go
+++ b/store.go
@@ -41,9 +41,9 @@
 	// Changes returns the changes below a prefix since a revision, in order. If there
 	// are none, it waits for the first one, and returns none if wait is over before.
 	Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) (Items, error)
-	// Revision returns a recent revision of the store, which may lag by seconds. It is
-	// cheaper than the other reads and shows whether the store can be reached.
-	Revision(ctx context.Context) (uint64, error)
+	// Revision returns the store's revision. If it may be stale, it may lag by seconds, but
+	// the read is cheaper than others and shows whether the store can be reached.
+	Revision(ctx context.Context, stale bool) (uint64, error)
 }
 
 // Catalog decodes the entries that operators and targets publish in the store.
