--- a/core/status.go
+++ b/core/status.go
@@ -17,7 +17,7 @@
 	Report     gypsumrail.Report
 	Sends      int     // calls in the sender role
 	Serves     int     // calls in the receiver role, queued ones included
-	RateLimit  float64 // calls a second that the own target takes; 0 if it states no rate limit
+	RateLimit  float64 `json:",omitempty"` // calls a second that the own target takes; 0 if it states no rate limit
 	Reserved   int     // free slots that only calls of importance 8 and 9 may use
 	LedgerSize int
 	Instances  int
