--- a/core/config.go
+++ b/core/config.go
@@ -22,9 +22,9 @@
 // instancesRead merges an instance list of the platform into the directory, if its
 // revision is newer than the current one.
 func (n *Node) instancesRead(event *gypsumrail.Event) {
-	before := n.parts.Values.Current(gypsumrail.ValueInstances).Revision
+	before := n.parts.Values.Current(gypsumrail.ValueInstances)
 	if n.adopt(event) {
-		n.noteRestore(before, event.Value.Revision)
+		n.noteRestore(before, event.Value)
 		n.reportAdoption(event, n.listedStates.changes(event.Instances))
 		n.listedStates = statesOf(event.Instances)
 		n.parts.Directory.MergeList(n.now, event.Instances)
@@ -34,10 +34,10 @@
 
 // noteRestore tells the directory and the log if an instance list is the first of a later
 // era of the platform's store.
-func (n *Node) noteRestore(before, now gypsumrail.Revision) {
-	eraBefore, _ := gypsumrail.SplitPosition(uint64(before))
-	era, _ := gypsumrail.SplitPosition(uint64(now))
-	if before == 0 || era == eraBefore {
+func (n *Node) noteRestore(before, now gypsumrail.ValueVersion) {
+	eraBefore, _ := before.Position()
+	era, _ := now.Position()
+	if before.Revision == 0 || era == eraBefore {
 		return
 	}
 	n.parts.Directory.PlatformRestored(n.now)
@@ -86,17 +86,14 @@
 	}
 }
 
-// formatVersion returns the revision of a value for a log line. That of an instance list
-// is a position of the platform's store.
+// formatVersion returns the revision of a value for a log line, with its era if it has one.
 func formatVersion(version gypsumrail.ValueVersion) string {
-	revision, prefix := uint64(version.Revision), ""
-	if version.Name == gypsumrail.ValueInstances {
-		var era uint64
-		if era, revision = gypsumrail.SplitPosition(revision); era > 0 {
-			prefix = "Era=" + strconv.FormatUint(era, 10) + " "
-		}
+	era, revision := version.Position()
+	text := "Revision=" + strconv.FormatUint(revision, 10)
+	if era > 0 {
+		text = "Era=" + strconv.FormatUint(era, 10) + " " + text
 	}
-	return prefix + "Revision=" + strconv.FormatUint(revision, 10)
+	return text
 }
 
 // announce sends an exchange to up to announceMax random peers, so that they pull
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -22,7 +22,7 @@
 	row("Node", "%s of service %s in zone %s, peers port %s", n.Self.Name, n.Self.Service, n.Self.Zone, n.Self.Address)
 	row("State", "%s", s.state())
 	for _, v := range n.Values {
-		row(string(v.Name), "revision %d (hash %016x)%s", v.Revision, v.Hash, s.schema(v.Name))
+		row(string(v.Name), "%s (hash %016x)%s", revision(v), v.Hash, s.schema(v.Name))
 	}
 	if len(n.Values) == 0 {
 		row("Records", "none%s", s.schema(gypsumrail.ValueRecords))
@@ -30,6 +30,9 @@
 	row("Directory", "%d instances", n.Instances)
 	row("Limit", "%d calls at once: %d run, %d free slots are for importance %d and above",
 		n.Report.Limit, n.Report.InFlight, n.Reserved, gypsumrail.ImportanceReserved)
+	if n.RateLimit > 0 {
+		row("Rate limit", "%g calls a second, as the target states", n.RateLimit)
+	}
 	row("Queue", "%d calls wait", n.Report.Queued)
 	row("Threshold", "%s", threshold(n.Report.Threshold))
 	row("Calls", "%d as sender, %d as receiver", n.Sends, n.Serves)
@@ -44,6 +47,16 @@
 	return s.writeServices(out)
 }
 
+// revision describes the revision of a value, with the era of the platform's store if that
+// came back from a copy.
+func revision(v gypsumrail.ValueVersion) string {
+	era, revision := v.Position()
+	if era == 0 {
+		return fmt.Sprintf("revision %d", revision)
+	}
+	return fmt.Sprintf("revision %d of era %d", revision, era)
+}
+
 func (s *Status) state() string {
 	var words []string
 	switch {
--- a/internal/node/values/values.go
+++ b/internal/node/values/values.go
@@ -138,11 +138,9 @@
 // instance list may also be of one of the next eras of the platform's store, in which
 // revisions start anew.
 func (v *Values) isPlausible(current, version gypsumrail.ValueVersion) bool {
-	if version.Name == gypsumrail.ValueInstances {
-		before, _ := gypsumrail.SplitPosition(uint64(current.Revision))
-		if era, _ := gypsumrail.SplitPosition(uint64(version.Revision)); era != before {
-			return era-before <= eraJumpMax
-		}
+	before, _ := current.Position()
+	if era, _ := version.Position(); era != before {
+		return era-before <= eraJumpMax
 	}
 	return version.Revision-current.Revision <= v.settings.JumpMax
 }
--- a/position.go
+++ b/position.go
@@ -16,6 +16,15 @@
 // revision as it is. The era is at most EraMax, the revision at most StoreRevisionMax.
 func Position(era, revision uint64) uint64 { return era<<eraShift | revision }
 
+// Position returns the era of the platform's store that a version is of, and its revision
+// within it. The records are numbered by their operator, in no era.
+func (v ValueVersion) Position() (era, revision uint64) {
+	if v.Name == ValueInstances {
+		return SplitPosition(uint64(v.Revision))
+	}
+	return 0, uint64(v.Revision)
+}
+
 // SplitPosition returns the era of a position and the revision within it.
 func SplitPosition(position uint64) (era, revision uint64) {
 	return position >> eraShift, position & StoreRevisionMax
