Take the reports of a node that restarted beside its target

After a restart of a node its senders ignored what it reported for as long as it had run before: load, threshold in the router, and now the rate limit of its target, so that calls were routed as if it had no load, and a limit was believed or missed for up to 30 s. A report's sequence numbers tell reports that were overtaken, and begin anew with the process, while the incarnation is that of the target, which went on. It came up when asking what a node that takes over after a restart knows of a stated rate.

A lower sequence number now counts once the last report has aged, 1 s after it; no report is overtaken by that long. An equal one still does not: a node that hangs repeats it.

Test, seen to fail: route TestReportsAfterRestartOfNode (rate limit 20, want 7).

--- a/route/rate_test.go
+++ b/route/rate_test.go
@@ -36,3 +36,23 @@
 		t.Errorf("after %d ms the known rate limit is %g, want none", rateMaxAge, got)
 	}
 }
+
+// Guards against a sender that ignores the reports of a restarted node, whose sequence
+// numbers begin anew, for as long as the node had run before: its load, its threshold, and
+// the rate limit that its target states. A report that was overtaken is still ignored.
+func TestReportsAfterRestartOfNode(t *testing.T) {
+	r := newTestRouter(1, nil)
+	r.report(0, 0, func(r *gypsumrail.Report) { r.Sequence, r.RateLimit = 5000, 20 })
+	r.report(reportMaxAge-1, 0, func(r *gypsumrail.Report) { r.Sequence = 4999 })
+	if got := r.RateLimit(reportMaxAge-1, name(0)); got != 20 {
+		t.Errorf("after a report that was overtaken the rate limit is %g, want 20", got)
+	}
+	r.report(reportMaxAge, 0, func(r *gypsumrail.Report) { r.Sequence = 5000 }) // of a node that hangs
+	if got := r.RateLimit(reportMaxAge, name(0)); got != 20 {
+		t.Errorf("after the same report again the rate limit is %g, want 20", got)
+	}
+	r.report(reportMaxAge, 0, func(r *gypsumrail.Report) { r.Sequence, r.RateLimit = 1, 7 })
+	if got := r.RateLimit(reportMaxAge, name(0)); got != 7 {
+		t.Errorf("after a restart of the node the rate limit is %g, want 7", got)
+	}
+}
--- a/route/results.go
+++ b/route/results.go
@@ -87,7 +87,8 @@
 // applyReport records the load report of an upstream. It ignores the load in a
 // report whose sequence number is not higher than the last one: either a later
 // report overtook it, or the reporter hangs. In the second case the last load
-// ages, and only the sender's own observations remain.
+// ages, and only the sender's own observations remain. Once it has aged, a lower
+// sequence number is that of a node that restarted beside the same target.
 func (u *upstream) applyReport(now gypsumrail.Millis, report *gypsumrail.Report, leavingTime gypsumrail.Millis) {
 	if report.Incarnation < u.Instance.Incarnation {
 		return
@@ -103,7 +104,7 @@
 		u.leaving = true // final for this incarnation
 		u.service.recountEjected = true
 	}
-	if u.reported && report.Sequence <= u.sequence {
+	if u.reported && (report.Sequence == u.sequence || report.Sequence < u.sequence && now-u.reportedAt < reportMaxAge) {
 		return
 	}
 	u.reported, u.reportedAt, u.sequence = true, now, report.Sequence
