--- a/core/serve.go
+++ b/core/serve.go
@@ -183,10 +183,9 @@
 	})
 }
 
-// startQueued starts queued calls while slots are free and the rate limit of the target
-// allows it. It first refuses the calls
-// that can no longer finish in time, so that no slot runs work whose caller has
-// stopped waiting.
+// startQueued starts queued calls while slots are free and the rate limit of the
+// target allows it. It first refuses the calls that can no longer finish in time, so
+// that no slot runs work whose caller has stopped waiting.
 func (n *Node) startQueued() {
 	n.expireQueue()
 	for {
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -7,9 +7,11 @@
 // node has one pending call at the store while nothing changes.
 //
 // The package handles the gaps between a listing and a watch: pages that are not one
-// snapshot, a history that the store has dropped, and a store that is unreachable,
-// rejects this node or does not respond. It does not interpret the items. The
-// receiver of a copy decides what a removed item means.
+// snapshot, a history that the store has dropped, a watch that is not notified, and a
+// store that is unreachable, rejects this node or does not respond. Revisions are
+// positions, so a store that comes back from an older copy needs no case of its own. The
+// package does not interpret the items. The receiver of a copy decides what a removed
+// item means.
 package mirror
 
 import (
--- a/internal/node/relay/headers.go
+++ b/internal/node/relay/headers.go
@@ -26,7 +26,7 @@
 	Leaving   string // on an answer: "1" if the target is about to end
 }
 
-// Headers between nodes.
+// Headers between nodes, besides wire.HeaderRateLimit and wire.HeaderHints.
 const (
 	headerCall   = "Gypsumrail-Call"   // on a request; see appendCall
 	headerAnswer = "Gypsumrail-Answer" // on an answer; see appendAnswer
