Tell a target that ended from an answer that broke off, and log fingerprints

A broken run looked the same whether the target had cut one connection or had ended, and no line showed which content was running. After a run broke, the node now checks whether its target still accepts connections (reason Crashed if not). Event 2405 has a fingerprint of caller, method, host, path and body. The reducer treats Crashed like Broken.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -141,7 +141,7 @@
 // isAnswerLost reports whether the outcome of an attempt is unknown only
 // because its answer did not arrive. Its home can then still tell the outcome.
 func isAnswerLost(reason gypsumrail.Reason) bool {
-	return reason == gypsumrail.ReasonSilent || reason == gypsumrail.ReasonBroken
+	return reason == gypsumrail.ReasonSilent || reason == gypsumrail.ReasonBroken || reason == gypsumrail.ReasonCrashed
 }
 
 // mayRetry reports whether another attempt is allowed after one that ended for
@@ -155,7 +155,7 @@
 		return false
 	}
 	pinned := s.keyText != "" && !s.ownKey
-	if pinned && reason != gypsumrail.ReasonSilent && reason != gypsumrail.ReasonBroken {
+	if pinned && !isAnswerLost(reason) {
 		return false
 	}
 	if reachedTarget(reason) && !attemptsLeft(s) {
@@ -188,8 +188,8 @@
 // load on it.
 func reachedTarget(reason gypsumrail.Reason) bool {
 	switch reason {
-	case gypsumrail.ReasonTargetBusy, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonBroken, gypsumrail.ReasonSilent,
-		gypsumrail.ReasonMisdirected:
+	case gypsumrail.ReasonTargetBusy, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonBroken, gypsumrail.ReasonCrashed,
+		gypsumrail.ReasonSilent, gypsumrail.ReasonMisdirected:
 		return true
 	}
 	return false
--- a/internal/node/meter/labels.go
+++ b/internal/node/meter/labels.go
@@ -129,7 +129,7 @@
 		gypsumrail.ReasonUnknownName, gypsumrail.ReasonKeyRequired, gypsumrail.ReasonKeyExpired,
 		gypsumrail.ReasonKeyRefused, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonKeyDone,
 		gypsumrail.ReasonHomeGone, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonSilent,
-		gypsumrail.ReasonBroken, gypsumrail.ReasonConnect, gypsumrail.ReasonCallerGone,
+		gypsumrail.ReasonBroken, gypsumrail.ReasonCrashed, gypsumrail.ReasonConnect, gypsumrail.ReasonCallerGone,
 		gypsumrail.ReasonSuperseded, gypsumrail.ReasonTooDeep,
 		gypsumrail.ReasonTargetBusy, gypsumrail.ReasonMisdirected, gypsumrail.ReasonTimeout, gypsumrail.ReasonInvalidClass,
 		wire.ReasonMalformed, wire.ReasonHeadersTooLong, wire.ReasonBodyTooLong, wire.ReasonBusy,
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -62,6 +62,12 @@
 	}
 }
 
+func (a *attempt) isCanceled() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.canceled
+}
+
 // release detaches the connection, so that cancel no longer closes it, and returns
 // whether the attempt was canceled.
 func (a *attempt) release() bool {
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -83,9 +83,7 @@
 	}
 	own := c.conn
 	// The reducer no longer tracks a canceled attempt. It needs the end of every run.
-	a.mu.Lock()
-	canceled := a.canceled
-	a.mu.Unlock()
+	canceled := a.isCanceled()
 	for _, event := range events {
 		if !canceled || event.Attempt == 0 {
 			r.step(event)
@@ -152,8 +150,11 @@
 		result = r.classifyAnswer(response)
 	} else {
 		result = resultOf(err)
-		if result.Reason == gypsumrail.ReasonConnect {
+		switch {
+		case result.Reason == gypsumrail.ReasonConnect:
 			result.Reason = gypsumrail.ReasonTargetFailed
+		case result.Reason == gypsumrail.ReasonBroken && !a.isCanceled() && r.targetEnded():
+			result.Reason = gypsumrail.ReasonCrashed
 		}
 		r.targets.CloseExpired()
 	}
@@ -163,7 +164,8 @@
 	}
 	if result.Reason != gypsumrail.ReasonNone {
 		r.log.Put(NoticeTargetFailed, c.request, result.Reason,
-			"Class="+c.arrival.Class+" Outcome="+string(result.Outcome)+countField(" Status", response.StatusCode())+errorField(err))
+			"Class="+c.arrival.Class+" Outcome="+string(result.Outcome)+countField(" Status", response.StatusCode())+
+				" Fingerprint="+gypsumrail.FormatFingerprint(c.arrival.Fingerprint)+errorField(err))
 		r.finishAttempt(c, a, nil, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: c.id, Result: result})
 		return
 	}
--- a/internal/node/wire/problem.go
+++ b/internal/node/wire/problem.go
@@ -47,6 +47,7 @@
 	gypsumrail.ReasonTargetFailed: {http.StatusBadGateway, "The target failed"},
 	gypsumrail.ReasonSilent:       {http.StatusGatewayTimeout, "The connection stopped carrying data"},
 	gypsumrail.ReasonBroken:       {http.StatusBadGateway, "The connection broke before a whole answer"},
+	gypsumrail.ReasonCrashed:      {http.StatusBadGateway, "The target ended while it ran the request"},
 	gypsumrail.ReasonConnect:      {http.StatusBadGateway, "No connection could be opened"},
 	gypsumrail.ReasonCallerGone:   {http.StatusServiceUnavailable, "The caller left"},
 	gypsumrail.ReasonSuperseded:   {http.StatusConflict, "A resend of the same request took over"},
--- a/names.go
+++ b/names.go
@@ -1,6 +1,10 @@
 package gypsumrail
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // CallID identifies a call within one node. It has no meaning outside the
 // process.
@@ -80,6 +84,7 @@
 	ReasonTargetFailed Reason = "TargetFailed" // the target could not be reached or broke the connection
 	ReasonSilent       Reason = "Silent"       // the connection stopped carrying data
 	ReasonBroken       Reason = "Broken"       // the connection broke before a whole answer
+	ReasonCrashed      Reason = "Crashed"      // the target ended while it ran the call
 	ReasonConnect      Reason = "Connect"      // no connection could be opened, so nothing was sent
 	ReasonCallerGone   Reason = "CallerGone"   // the caller left
 	ReasonSuperseded   Reason = "Superseded"   // a resend of the same request gets the answer instead
@@ -89,3 +94,7 @@
 	ReasonTimeout      Reason = "Timeout"      // the longest wait that the class allows is over
 	ReasonInvalidClass Reason = "InvalidClass" // the definition of the class in the records in force is not usable
 )
+
+// FormatFingerprint formats the fingerprint of a request for logs and operators: 16
+// hexadecimal digits.
+func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
