Quarantine requests that crash the targets that run them

Cause: a failure was charged to whatever was at hand. A target that ended counted as failed and the request went on to the next one, because nothing knew a request beyond one attempt at one node.

Change: requests have fingerprints of their content. The node beside a target that ended names those that it ran. One crash makes a request suspected: at each target only one suspected request runs at a time, and all nodes send it to the same target. Crashes of two targets, or three of one, without a completion in between quarantine it: it is refused as not run, with the rest of the quarantine as Retry-After, which ends by itself and doubles with further crashes. A completion clears it. The evidence travels with the call, as news from node to node, and by comparison of digests once a second, so that a node that starts or was cut off learns it. No node judges for others: all merge the same crashes and completions. (package blame, core/quarantine.go)

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -27,13 +27,16 @@
 	t.open = answered
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.recordAnswer(t.upstream, s.service, s.class.Name, result)
+	if result.Reason == gypsumrail.ReasonCrashed {
+		n.recordCrash(t.upstream.Address, s.fingerprint)
+	}
 	if result.Stated != nil && result.Stated.Leaving {
 		n.recordLeaving(t.upstream)
 	}
 	switch {
 	case answered:
 		n.parts.Router.Answered(n.now, t.upstream.Name, n.now-t.sent, result.Report)
-	case result.Reason == gypsumrail.ReasonTargetFailed, result.Reason == gypsumrail.ReasonMisdirected:
+	case result.Reason == gypsumrail.ReasonTargetFailed, result.Reason == gypsumrail.ReasonMisdirected, result.Reason == gypsumrail.ReasonCrashed:
 		// The node works but its target does not. Counting these fast refusals as
 		// answers would attract more calls.
 		n.parts.Router.Failed(n.now, t.upstream.Name, result.Reason)
@@ -148,7 +151,7 @@
 // the reason. With RetryChain it takes the retry from the retry budget, unless
 // the refusal is free.
 func (n *Node) mayRetry(s *senderCall, reason gypsumrail.Reason) bool {
-	if !isRetryable(reason) || s.deadline <= n.now {
+	if !isRetryable(reason) || s.deadline <= n.now || n.isQuarantined(s.fingerprint) {
 		return false
 	}
 	if s.mayHaveRun && !s.class.Repeatable {
@@ -202,7 +205,8 @@
 	case gypsumrail.ReasonUnknownName, gypsumrail.ReasonInvalidClass, gypsumrail.ReasonTooDeep, gypsumrail.ReasonDeadline,
 		gypsumrail.ReasonKeyExpired, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonKeyDone,
 		gypsumrail.ReasonKeyRequired, gypsumrail.ReasonKeyRefused, gypsumrail.ReasonHomeGone,
-		gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded:
+		gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded,
+		gypsumrail.ReasonQuarantined, gypsumrail.ReasonSuspected:
 		return false
 	}
 	return true
--- a/core/calls.go
+++ b/core/calls.go
@@ -63,6 +63,7 @@
 	service          string
 	class            *gypsumrail.Class
 	request          string
+	fingerprint      uint64
 	tenant           string
 	level            gypsumrail.Level
 	importance       gypsumrail.Importance
@@ -76,6 +77,7 @@
 	running          bool
 	answered         bool
 	overloaded       bool // the target shed the call itself; see isOverloadStatus
+	succeeded        bool // the head of the target's answer states no failure of the target
 	canceled         bool
 	keyed            bool // the ledger records its refusal or its end
 	key              gypsumrail.Key
--- a/core/config.go
+++ b/core/config.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		notified[i] = peer.Name
-		n.sendExchange(peer, 0, false, nil)
+		n.sendExchange(peer, 0, false, nil, gypsumrail.Evidence{})
 	}
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -29,14 +29,15 @@
 // Parts are the replaceable parts of a node that make its decisions. All are
 // required.
 type Parts struct {
-	Limiter   gypsumrail.Limiter
-	Queue     gypsumrail.Queue
-	Shedder   gypsumrail.Shedder
-	Router    gypsumrail.Router
-	Budget    gypsumrail.Budget
-	Ledger    gypsumrail.Ledger
-	Directory gypsumrail.Directory
-	Values    gypsumrail.Values
+	Limiter    gypsumrail.Limiter
+	Queue      gypsumrail.Queue
+	Shedder    gypsumrail.Shedder
+	Router     gypsumrail.Router
+	Budget     gypsumrail.Budget
+	Ledger     gypsumrail.Ledger
+	Directory  gypsumrail.Directory
+	Values     gypsumrail.Values
+	Quarantine gypsumrail.Quarantine
 }
 
 // Node is the state of one node. It is not safe for concurrent use: the shell,
@@ -88,6 +89,7 @@
 	drainStarted     gypsumrail.Millis // start of the drain
 	stopped          bool              // the drain is complete
 	stated           statement         // of the own target
+	suspicions       suspicions
 	counts           Counts
 }
 
@@ -111,6 +113,7 @@
 		callers:       make(map[string]gypsumrail.Millis),
 		splits:        make(map[string]*split),
 		uses:          make(map[string]*serviceUses),
+		suspicions:    suspicions{verdicts: make(map[uint64]bool)},
 		clocks:        clocks{tick: noTime, began: noTime, resumed: noTime, upstreams: -upstreamsEvery},
 	}
 }
--- a/core/counts.go
+++ b/core/counts.go
@@ -16,4 +16,6 @@
 	Resolves    uint64 // attempts without an answer whose home was asked for the outcome
 	Exchanges   uint64 // messages of exchanges sent to peers
 	SilentConns uint64 // attempts that failed on a silent connection
+	Crashes     uint64 // of the own target while it ran calls
+	Quarantines uint64 // requests that were quarantined, by the evidence of any node
 }
--- a/core/drain.go
+++ b/core/drain.go
@@ -32,7 +32,7 @@
 	n.notice(gypsumrail.NoticeDrainStarted, n.self.Name, gypsumrail.ReasonNone)
 	for _, name := range slices.Sorted(maps.Keys(n.callers)) {
 		if peer, ok := n.parts.Directory.Lookup(name); ok && n.now-n.callers[name] <= callerTTL {
-			n.sendExchange(peer, 0, false, nil)
+			n.sendExchange(peer, 0, false, nil, gypsumrail.Evidence{})
 		}
 	}
 }
--- a/core/failure_detection.go
+++ b/core/failure_detection.go
@@ -10,7 +10,7 @@
 	}
 	n.dueProbes = n.detector.DueProbes(n.now, n.dueProbes[:0])
 	for _, upstream := range n.dueProbes {
-		n.sendExchange(upstream, 0, false, nil)
+		n.sendExchange(upstream, 0, false, nil, gypsumrail.Evidence{})
 	}
 }
 
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -19,22 +19,22 @@
 // gossip starts an exchange with one random peer.
 func (n *Node) gossip() {
 	if partner, ok := n.parts.Directory.Partner(n.random.Uint64()); ok {
-		n.sendExchange(partner, 0, false, nil)
+		n.sendExchange(partner, 0, false, nil, gypsumrail.Evidence{})
 	}
 }
 
 // sendExchange sends one message of an exchange. A non-zero call makes it the
 // response to the peer's message of that CallID. The answer flag marks the second and
 // third message. The extra entries are sent in addition to the rumors.
-func (n *Node) sendExchange(to gypsumrail.Instance, call gypsumrail.CallID, answer bool, extra []gypsumrail.Instance) {
+func (n *Node) sendExchange(to gypsumrail.Instance, call gypsumrail.CallID, answer bool, extra []gypsumrail.Instance, evidence gypsumrail.Evidence) {
 	n.counts.Exchanges++
 	n.self = n.parts.Directory.Self()
 	n.emit(gypsumrail.Effect{
 		Kind: gypsumrail.SendExchange, Call: call, To: to, Exchange: &gypsumrail.Exchange{
 			From:    n.self,
-			Digest:  gypsumrail.Digest{Buckets: n.parts.Directory.Buckets(), Values: n.parts.Values.Versions()},
+			Digest:  gypsumrail.Digest{Buckets: n.parts.Directory.Buckets(), Values: n.parts.Values.Versions(), Evidence: n.parts.Quarantine.Digest()},
 			Entries: append(n.parts.Directory.Rumors(n.now, rumorsMax), extra...),
-			Answer:  answer,
+			Answer:  answer, Evidence: evidence,
 		},
 	})
 }
@@ -61,16 +61,24 @@
 			n.emit(gypsumrail.Effect{Kind: gypsumrail.Pull, To: message.From, Value: offered})
 		}
 	}
+	n.mergeEvidence(message.Evidence)
+	if event.Call == 0 {
+		n.suspicions.peersAsked = true
+	}
 	differingEntries := n.differingEntries(message.Digest.Buckets)
 	switch {
 	case !message.Answer:
-		n.sendExchange(message.From, event.Call, true, differingEntries)
+		var evidence gypsumrail.Evidence
+		if message.Digest.Evidence != n.parts.Quarantine.Digest() {
+			evidence = n.parts.Quarantine.All(n.now)
+		}
+		n.sendExchange(message.From, event.Call, true, differingEntries, evidence)
 	case event.Call != 0:
 		// The third message needs no entries in return, but the transport needs a
 		// response to it.
-		n.sendExchange(message.From, event.Call, true, nil)
+		n.sendExchange(message.From, event.Call, true, nil, gypsumrail.Evidence{})
 	case len(differingEntries) > 0:
-		n.sendExchange(message.From, 0, true, differingEntries)
+		n.sendExchange(message.From, 0, true, differingEntries, gypsumrail.Evidence{})
 	}
 }
 
--- /dev/null
+++ b/core/quarantine.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+const (
+	// evidenceEvery is the interval of exchanges with peers while there is evidence
+	// about any request. They bring it to nodes that missed the news or started later.
+	evidenceEvery = gypsumrail.Second
+	// newsPeers is the number of random peers to which a node passes on news. Each passes
+	// them on once more, so that they reach nearly all of 640 nodes in about 5 steps.
+	newsPeers = 4
+	// crashPause is the time within which runs that the end of the own target broke
+	// belong to the same crash.
+	crashPause = gypsumrail.Second
+)
+
+// suspicions is what a node does about requests that may crash targets. The evidence
+// itself is in parts.Quarantine.
+type suspicions struct {
+	running    gypsumrail.CallID   // suspected request that runs on the own target; 0 if none
+	waiting    []gypsumrail.CallID // suspected requests that wait for it to end
+	crashed    bool                // the own target has crashed before
+	crashedAt  gypsumrail.Millis   // last crash of the own target
+	verdicts   map[uint64]bool     // requests whose quarantine was logged and has not ended
+	peersAsked bool                // a peer has told this node what it knows
+}
+
+// isQuarantined reports whether no target may run requests with this fingerprint.
+func (n *Node) isQuarantined(fingerprint uint64) bool {
+	return n.parts.Quarantine.Judge(n.now, fingerprint).Standing == gypsumrail.Quarantined
+}
+
+// mayStart reports whether a call may start on the own target. It refuses a quarantined
+// call, and holds a suspected one while another runs: if the target crashes, only one
+// suspected request was there.
+func (n *Node) mayStart(v *receiverCall) bool {
+	switch n.parts.Quarantine.Judge(n.now, v.fingerprint).Standing {
+	case gypsumrail.Quarantined:
+		n.refuseReceiverCall(v, gypsumrail.NotRun, gypsumrail.ReasonQuarantined)
+		return false
+	case gypsumrail.Suspected:
+		if n.suspicions.running == 0 {
+			n.suspicions.running = v.call
+			return true
+		}
+		wait := gypsumrail.Millis(float64(len(n.suspicions.waiting)+1) * n.meanRunTime(v.class.Name))
+		if n.now+wait+n.need(v.class.Name) > v.deadline {
+			n.refuseReceiverCall(v, gypsumrail.NotRun, gypsumrail.ReasonSuspected)
+			return false
+		}
+		n.suspicions.waiting = append(n.suspicions.waiting, v.call)
+		return false
+	}
+	return true
+}
+
+// startSuspected starts the next suspected call if none runs on the own target, and all
+// waiting calls that are no longer suspected.
+func (n *Node) startSuspected() {
+	for n.suspicions.running == 0 && len(n.suspicions.waiting) > 0 {
+		call := n.suspicions.waiting[0]
+		n.suspicions.waiting = n.suspicions.waiting[1:]
+		v := n.receiverCalls[call]
+		switch {
+		case v == nil || v.running:
+		case n.running < n.limitFor(v.importance) && n.stated.rate.Ready(n.now):
+			n.start(v)
+		default:
+			n.enqueue(v)
+		}
+	}
+}
+
+// chooseForTrial returns the upstream that tries a suspected call. All nodes choose the same
+// one for the same request, as far as they see the same upstreams, so that its copies do
+// not crash several targets at once. Targets that crashed under it come last.
+func (n *Node) chooseForTrial(s *senderCall, crashes []gypsumrail.Crash) (gypsumrail.Instance, gypsumrail.Reason) {
+	choice := n.callChoice(s)
+	choice.Exclude = slices.Clone(choice.Exclude)
+	var candidates []gypsumrail.Instance
+	for {
+		upstream, reason := n.parts.Router.Choose(n.now, choice)
+		if reason != gypsumrail.ReasonNone {
+			if len(candidates) == 0 {
+				return upstream, reason
+			}
+			break
+		}
+		candidates = append(candidates, upstream)
+		choice.Exclude = append(choice.Exclude, upstream.Name)
+	}
+	slices.SortStableFunc(candidates, func(a, b gypsumrail.Instance) int {
+		return cmp.Or(
+			cmp.Compare(crashesAt(crashes, a.Address), crashesAt(crashes, b.Address)),
+			cmp.Compare(trialRank(s.fingerprint, a.Address), trialRank(s.fingerprint, b.Address)),
+		)
+	})
+	for _, upstream := range candidates {
+		if s.class.Repeatable || s.class.Unkeyed || n.makeKey(s, upstream) {
+			return upstream, gypsumrail.ReasonNone
+		}
+	}
+	return gypsumrail.Instance{}, gypsumrail.ReasonNoUpstream
+}
+
+// crashesAt returns the number of crashes of the target beside the node with this address.
+func crashesAt(crashes []gypsumrail.Crash, address string) int {
+	count := 0
+	for i := range crashes {
+		if crashes[i].Address == address {
+			count++
+		}
+	}
+	return count
+}
+
+// trialRank returns the rank of an address for a request by rendezvous hashing.
+func trialRank(fingerprint uint64, address string) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(address), fingerprint))
+}
+
+// recordCrash records that the target beside the node with this address ended while it
+// ran a request.
+func (n *Node) recordCrash(address string, fingerprint uint64) {
+	n.parts.Quarantine.RecordCrash(n.now, address, fingerprint)
+	n.noteVerdict(fingerprint)
+}
+
+// recordOwnCrash records that the own target ended while it ran a call. It logs one line
+// for all runs that the same crash broke.
+func (n *Node) recordOwnCrash(v *receiverCall) {
+	n.recordCrash(n.self.Address, v.fingerprint)
+	if s := &n.suspicions; !s.crashed || n.now-s.crashedAt > crashPause {
+		s.crashed = true
+		n.counts.Crashes++
+		n.emit(gypsumrail.Effect{
+			Kind: gypsumrail.Log, Notice: gypsumrail.NoticeTargetCrashed, Subject: n.self.Name,
+			Detail: "Runs=" + strconv.Itoa(n.running+1), // endRun has counted this one out
+		})
+	}
+	n.suspicions.crashedAt = n.now
+}
+
+// noteVerdict logs the quarantine of a request once.
+func (n *Node) noteVerdict(fingerprint uint64) {
+	if n.suspicions.verdicts[fingerprint] {
+		return
+	}
+	judgment := n.parts.Quarantine.Judge(n.now, fingerprint)
+	if judgment.Standing != gypsumrail.Quarantined {
+		return
+	}
+	var addresses []string
+	for i := range judgment.Crashes {
+		addresses = append(addresses, judgment.Crashes[i].Address)
+	}
+	n.suspicions.verdicts[fingerprint] = true
+	n.counts.Quarantines++
+	n.emit(gypsumrail.Effect{
+		Kind: gypsumrail.Log, Notice: gypsumrail.NoticeRequestQuarantined, Subject: gypsumrail.FormatFingerprint(fingerprint),
+		Detail: "Crashes=" + strconv.Itoa(len(judgment.Crashes)) + " Targets=" + strings.Join(addresses, ",") + " Left=" + strconv.FormatInt(int64(judgment.Left), 10),
+	})
+}
+
+// mergeCrashes adds the crashes of a call that its sender knows. News may not have arrived
+// yet, and a suspected call must not run beside another one.
+func (n *Node) mergeCrashes(fingerprint uint64, crashes []gypsumrail.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	crashes = slices.Clone(crashes)
+	for i := range crashes {
+		crashes[i].Requests = []uint64{fingerprint}
+	}
+	n.mergeEvidence(gypsumrail.Evidence{Crashes: crashes})
+}
+
+// mergeEvidence adds the evidence of a peer.
+func (n *Node) mergeEvidence(evidence gypsumrail.Evidence) {
+	n.parts.Quarantine.Merge(n.now, evidence)
+	for i := range evidence.Crashes {
+		for _, fingerprint := range evidence.Crashes[i].Requests {
+			n.noteVerdict(fingerprint)
+		}
+	}
+}
+
+// passOnNews sends new evidence to some peers.
+func (n *Node) passOnNews() {
+	news := n.parts.Quarantine.News(n.now)
+	if len(news.Crashes) == 0 && len(news.Completions) == 0 {
+		return
+	}
+	var sent []string
+	for range newsPeers {
+		peer, ok := n.parts.Directory.Partner(n.random.Uint64())
+		if !ok {
+			return
+		}
+		if !slices.Contains(sent, peer.Address) {
+			sent = append(sent, peer.Address)
+			n.sendExchange(peer, 0, false, nil, news)
+		}
+	}
+}
+
+// exchangesEvidence reports whether an exchange with a peer is due because of evidence: a
+// node that has just started asks what its peers know.
+func (n *Node) exchangesEvidence() bool {
+	since := n.now - n.clocks.gossip
+	return !n.suspicions.peersAsked && n.settings.GossipAway > 0 && since >= n.settings.GossipAway ||
+		since >= evidenceEvery && n.parts.Quarantine.Digest() != 0
+}
+
+// expireQuarantine drops evidence that no longer counts, and logs quarantines that ended.
+func (n *Node) expireQuarantine() {
+	n.parts.Quarantine.Expire(n.now)
+	var ended []uint64
+	for fingerprint := range n.suspicions.verdicts {
+		if !n.isQuarantined(fingerprint) {
+			ended = append(ended, fingerprint)
+		}
+	}
+	slices.Sort(ended)
+	for _, fingerprint := range ended {
+		delete(n.suspicions.verdicts, fingerprint)
+		n.notice(gypsumrail.NoticeQuarantineEnded, gypsumrail.FormatFingerprint(fingerprint), gypsumrail.ReasonNone)
+	}
+}
--- a/core/send.go
+++ b/core/send.go
@@ -153,6 +153,8 @@
 		return gypsumrail.ReasonTooDeep
 	case s.deadline <= n.now:
 		return gypsumrail.ReasonDeadline
+	case n.isQuarantined(s.fingerprint):
+		return gypsumrail.ReasonQuarantined
 	}
 	if reason := n.readKey(s, arrival); reason != gypsumrail.ReasonNone {
 		return reason
@@ -219,7 +221,7 @@
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Forward, Call: s.call, Attempt: len(s.attempts), To: upstream, Deadline: s.deadline,
 		Allowance: portion.Size(), Importance: s.importance, Invested: s.invested, Key: s.keyText, Kept: s.exempt,
-		RateLimit: n.parts.Router.RateLimit(n.now, upstream.Name),
+		RateLimit: n.parts.Router.RateLimit(n.now, upstream.Name), Crashes: n.parts.Quarantine.Judge(n.now, s.fingerprint).Crashes,
 	}
 	if s.keyText != "" {
 		effect.HomeAttempt = attempt
@@ -233,6 +235,12 @@
 	if s.keyText != "" && !s.ownKey {
 		return n.home(s.key)
 	}
+	switch judgment := n.parts.Quarantine.Judge(n.now, s.fingerprint); judgment.Standing {
+	case gypsumrail.Quarantined:
+		return gypsumrail.Instance{}, gypsumrail.ReasonQuarantined
+	case gypsumrail.Suspected:
+		return n.chooseForTrial(s, judgment.Crashes)
+	}
 	choice := n.callChoice(s)
 	for {
 		upstream, reason := n.parts.Router.Choose(n.now, choice)
@@ -294,7 +302,7 @@
 	n.countOutcome(outcome, reason)
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Refuse, Call: s.call, Outcome: outcome, Reason: reason,
-		RetryAfter: n.retryAfter(reason), Hints: n.allHints(),
+		RetryAfter: n.retryAfter(reason, s.fingerprint), Hints: n.allHints(),
 	}
 	if outcome == gypsumrail.Ran {
 		effect.Key = s.keyText
@@ -312,13 +320,15 @@
 	retryAfterJitter = gypsumrail.Second
 )
 
-// retryAfter returns the delay after which a caller may try again, or 0 if
+// retryAfter returns the delay after which a caller may try a request again, or 0 if
 // trying again cannot help.
-func (n *Node) retryAfter(reason gypsumrail.Reason) gypsumrail.Millis {
+func (n *Node) retryAfter(reason gypsumrail.Reason, fingerprint uint64) gypsumrail.Millis {
 	switch reason {
+	case gypsumrail.ReasonQuarantined:
+		return n.parts.Quarantine.Judge(n.now, fingerprint).Left
 	case gypsumrail.ReasonOverload, gypsumrail.ReasonShed, gypsumrail.ReasonNoUpstream, gypsumrail.ReasonTargetBusy,
 		gypsumrail.ReasonMisdirected, gypsumrail.ReasonConnect, gypsumrail.ReasonTargetFailed,
-		gypsumrail.ReasonNoAllowance, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonDraining:
+		gypsumrail.ReasonNoAllowance, gypsumrail.ReasonKeyInUse, gypsumrail.ReasonDraining, gypsumrail.ReasonSuspected:
 		return retryAfterMin + gypsumrail.Millis(n.random.Uint64()%uint64(retryAfterJitter))
 	}
 	return 0
--- a/core/serve.go
+++ b/core/serve.go
@@ -9,9 +9,11 @@
 func (n *Node) peerCallArrived(call gypsumrail.CallID, arrival *gypsumrail.Arrival) {
 	n.recordCaller(arrival.From)
 	n.recordPeerRateLimit(arrival.RateLimit)
+	n.mergeCrashes(arrival.Fingerprint, arrival.Crashes)
 	v := n.newReceiverCall(call)
 	v.service = arrival.Service
 	v.request = arrival.Request
+	v.fingerprint = arrival.Fingerprint
 	v.tenant = arrival.Tenant
 	v.hop = arrival.Hop
 	v.exempt = arrival.Kept
@@ -43,6 +45,7 @@
 	v.service = s.service
 	v.class = s.class
 	v.request = s.request
+	v.fingerprint = s.fingerprint
 	v.tenant = s.tenant
 	v.level = s.level
 	v.importance = s.importance
@@ -103,6 +106,8 @@
 		return gypsumrail.ReasonTooDeep
 	case v.deadline <= n.now:
 		return gypsumrail.ReasonDeadline
+	case n.isQuarantined(v.fingerprint):
+		return gypsumrail.ReasonQuarantined
 	case v.level < n.parts.Shedder.Threshold() && !n.reservedSlotFree(v) && !v.exempt:
 		return gypsumrail.ReasonShed
 	}
@@ -163,6 +168,9 @@
 // start runs a call on the target. It checks the key again, because another
 // node may have had the attempt refused while the call was queued.
 func (n *Node) start(v *receiverCall) {
+	if !n.mayStart(v) {
+		return
+	}
 	if v.keyed {
 		if outcome, reason := n.startKey(v); reason != gypsumrail.ReasonNone {
 			n.refuseReceiverCall(v, outcome, reason)
@@ -188,6 +196,7 @@
 // that no slot runs work whose caller has stopped waiting.
 func (n *Node) startQueued() {
 	n.expireQueue()
+	n.startSuspected()
 	for {
 		atLeast := gypsumrail.Level(0)
 		if n.running >= n.limitFor(gypsumrail.ImportanceMin) {
@@ -248,7 +257,7 @@
 	}
 	n.countOutcome(outcome, reason)
 	effect := gypsumrail.Effect{
-		Kind: gypsumrail.Refuse, Call: v.call, Outcome: outcome, Reason: reason, RetryAfter: n.retryAfter(reason),
+		Kind: gypsumrail.Refuse, Call: v.call, Outcome: outcome, Reason: reason, RetryAfter: n.retryAfter(reason, v.fingerprint),
 		Allowance: v.allowance.Left(), Report: n.ownReport(), Hints: n.allHints(), Uses: n.usesOf(v.class.Name),
 	}
 	if outcome == gypsumrail.Ran {
--- a/core/target.go
+++ b/core/target.go
@@ -22,6 +22,7 @@
 	// A target that passes on the refusal of a service below it is not overloaded
 	// itself.
 	v.overloaded = isOverloadStatus(event.Result.Status) && !v.childFailed
+	v.succeeded = event.Result.Status < http.StatusInternalServerError
 	left := v.allowance.Left()
 	v.allowance = retry.Allowance{} // what is left goes back with the answer
 	s := n.senderCalls[v.call]
@@ -56,6 +57,9 @@
 	}
 	broken := event.Result != nil && event.Result.Outcome != gypsumrail.Ran
 	n.endRun(v, broken && !v.canceled)
+	if v.succeeded && !broken {
+		n.parts.Quarantine.RecordCompletion(n.now, v.fingerprint)
+	}
 	if v.keyed {
 		n.parts.Ledger.Finish(n.now, v.key, gypsumrail.Ran)
 	}
@@ -74,6 +78,9 @@
 	n.recordStated(v, event.Result.Stated)
 	outcome, reason := event.Result.Outcome, event.Result.Reason
 	n.endRun(v, !v.canceled)
+	if reason == gypsumrail.ReasonCrashed {
+		n.recordOwnCrash(v)
+	}
 	if v.keyed {
 		n.parts.Ledger.Finish(n.now, v.key, outcome)
 	}
@@ -93,6 +100,9 @@
 func (n *Node) endRun(v *receiverCall, failed bool) {
 	n.running--
 	v.running = false
+	if n.suspicions.running == v.call {
+		n.suspicions.running = 0
+	}
 	if v.importance >= gypsumrail.ImportanceReserved {
 		n.reserve.running--
 	}
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -49,7 +49,8 @@
 	if n.platformLost || n.listedStates == nil || n.records == nil {
 		every = n.settings.GossipAway
 	}
-	if every > 0 && n.now-n.clocks.gossip >= every {
+	n.passOnNews()
+	if every > 0 && n.now-n.clocks.gossip >= every || n.exchangesEvidence() {
 		n.clocks.gossip = n.now
 		n.gossip()
 	}
@@ -147,6 +148,7 @@
 // the platform when this node becomes or stops being the reader of its zone.
 func (n *Node) expireState() {
 	n.parts.Ledger.Expire(n.now)
+	n.expireQuarantine()
 	for name, seen := range n.callers {
 		if n.now-seen > callerTTL {
 			delete(n.callers, name)
--- a/effect.go
+++ b/effect.go
@@ -10,7 +10,7 @@
 // has a key, and drops it otherwise. A Refuse with the outcome Ran and a Key is
 // replaced by the stored answer of that key if there is one.
 const (
-	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt, RateLimit
+	Forward       EffectKind = "Forward"       // Call, Attempt, To, Deadline, Allowance, Importance, Invested, Key, HomeAttempt, RateLimit, Crashes
 	RunTarget     EffectKind = "RunTarget"     // Call, To (if this node chose it), Deadline
 	Answer        EffectKind = "Answer"        // Call, Attempt (0: the node's target), Allowance, Report, Hints: return it to the caller
 	Refuse        EffectKind = "Refuse"        // Call, Outcome, Reason, RetryAfter, Allowance, Report, Hints, Key (with Ran), Keys (new ones)
@@ -41,6 +41,7 @@
 	Importance  Importance   `json:",omitempty"`
 	Invested    Millis       `json:",omitempty"`
 	Kept        bool         `json:",omitempty"` // Forward: the receiver does not apply its threshold to the call
+	Crashes     []Crash      `json:",omitempty"` // Forward: crashes of targets that ran the request
 	RateLimit   float64      `json:",omitempty"` // Forward: the rate limit that the upstream last reported, in calls a second
 	Key         string       `json:",omitempty"`
 	HomeAttempt HomeAttempt  `json:",omitempty"`
@@ -76,6 +77,7 @@
 	NoticeThresholdZero    Notice = 1302
 	NoticeRateLimited      Notice = 1303 // the own target states a rate limit, or another one
 	NoticeRateUnlimited    Notice = 1304 // the own target no longer states a rate limit
+	NoticeTargetCrashed    Notice = 1305 // the own target ended while it ran calls
 	NoticeUpstreamSilent   Notice = 1401
 	NoticeUpstreamLost     Notice = 1402 // neither its calls nor the probes of its node are answered
 	NoticeUpstreamBack     Notice = 1403
@@ -84,4 +86,7 @@
 	NoticeDrainComplete    Notice = 1602
 	NoticeUnknownAnswer    Notice = 1701 // an answer for an unknown call or attempt was dropped
 	NoticeLedgerFull       Notice = 1801
+	// A request was running at so many crashes that no target may run it any more.
+	NoticeRequestQuarantined Notice = 1901
+	NoticeQuarantineEnded    Notice = 1902
 )
--- a/event.go
+++ b/event.go
@@ -69,7 +69,7 @@
 	Class       string      `json:",omitempty"`
 	Tenant      string      `json:",omitempty"`
 	Request     string      // identity of the user request
-	Fingerprint uint64      `json:",omitempty"` // hash of what must be equal in a resend: tenant, method, path
+	Fingerprint uint64      `json:",omitempty"` // hash of what is equal in all attempts of a request: caller, method, path and, for plain requests, body
 	Parent      CallID      `json:",omitempty"` // FromTarget: the call that the target is running
 	Attempt     int         // the caller's attempt, from 1
 	Remaining   Millis      `json:",omitempty"` // until the caller stops waiting; 0 stands for the deadline of the class
@@ -81,6 +81,7 @@
 	Hop         int         `json:",omitempty"` // calls above this one in the chain
 	Kept        bool        `json:",omitempty"` // FromPeer: the threshold does not apply to the call
 	From        string      `json:",omitempty"` // FromPeer: name of the sending instance
+	Crashes     []Crash     `json:",omitempty"` // FromPeer: crashes of targets that ran the request, as far as the sender knows
 	RateLimit   float64     `json:",omitempty"` // FromPeer: the rate limit of this node's target that the sender knows, in calls a second
 }
 
@@ -113,4 +114,6 @@
 	Digest  Digest
 	Entries []Instance `json:",omitempty"` // recent changes and the contents of buckets that differ
 	Answer  bool       `json:",omitempty"` // true in the answer to an exchange
+
+	Evidence Evidence `json:",omitzero"` // news, or all evidence in the answer to a digest that differs
 }
--- /dev/null
+++ b/internal/node/blame/gossip.go
@@ -0,0 +1,90 @@
+package blame
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+// Merge adds the evidence of a peer. Completions come first: the crashes that they cancel
+// are then not added.
+func (t *Table) Merge(now gypsumrail.Millis, evidence gypsumrail.Evidence) {
+	for _, c := range evidence.Completions {
+		for _, fingerprint := range c.Requests {
+			t.addCompletion(now, fingerprint, now-c.Age)
+		}
+	}
+	for _, c := range evidence.Crashes {
+		for _, fingerprint := range c.Requests {
+			t.addCrash(now, fingerprint, crash{c.Address, now - c.Age})
+		}
+	}
+	// Clocks run apart, so a peer may still hold what has expired here. Only all crashes
+	// of a request together tell whether they count.
+	for _, c := range evidence.Crashes {
+		for _, fingerprint := range c.Requests {
+			if e := t.entries[fingerprint]; e != nil && e.expired(now) {
+				t.drop(fingerprint)
+			}
+		}
+	}
+}
+
+// News returns the evidence that was added since it was last called.
+func (t *Table) News(now gypsumrail.Millis) gypsumrail.Evidence {
+	if len(t.news) == 0 {
+		return gypsumrail.Evidence{}
+	}
+	fingerprints := slices.Collect(maps.Keys(t.news))
+	clear(t.news)
+	return t.evidence(now, fingerprints)
+}
+
+// All returns the evidence of all requests.
+func (t *Table) All(now gypsumrail.Millis) gypsumrail.Evidence {
+	return t.evidence(now, slices.Collect(maps.Keys(t.entries)))
+}
+
+// evidence returns the evidence about requests, of those with the most crashes first. It
+// groups the requests by crash.
+func (t *Table) evidence(now gypsumrail.Millis, fingerprints []uint64) gypsumrail.Evidence {
+	slices.SortFunc(fingerprints, func(a, b uint64) int {
+		x, y := t.entries[a], t.entries[b]
+		return cmp.Or(-cmp.Compare(len(x.crashes), len(y.crashes)), -cmp.Compare(x.lastEvidence(), y.lastEvidence()), cmp.Compare(a, b))
+	})
+	var evidence gypsumrail.Evidence
+	for _, fingerprint := range fingerprints {
+		e := t.entries[fingerprint]
+		for _, c := range e.crashes {
+			evidence.Crashes = addRequest(evidence.Crashes, c.address, max(0, now-c.at), fingerprint)
+		}
+		if e.completed {
+			evidence.Completions = addCompleted(evidence.Completions, max(0, now-e.completedAt), fingerprint)
+		}
+	}
+	return evidence
+}
+
+// addRequest adds a request to the crash of the address and about that age, or to a new one.
+func addRequest(crashes []gypsumrail.Crash, address string, age gypsumrail.Millis, fingerprint uint64) []gypsumrail.Crash {
+	for i := range crashes {
+		if c := &crashes[i]; c.Address == address && max(c.Age-age, age-c.Age) < sameCrash/2 {
+			c.Requests = append(c.Requests, fingerprint)
+			return crashes
+		}
+	}
+	return append(crashes, gypsumrail.Crash{Address: address, Age: age, Requests: []uint64{fingerprint}})
+}
+
+// addCompleted adds a request to the completion of that age, or to a new one.
+func addCompleted(completions []gypsumrail.Completion, age gypsumrail.Millis, fingerprint uint64) []gypsumrail.Completion {
+	for i := range completions {
+		if completions[i].Age == age {
+			completions[i].Requests = append(completions[i].Requests, fingerprint)
+			return completions
+		}
+	}
+	return append(completions, gypsumrail.Completion{Age: age, Requests: []uint64{fingerprint}})
+}
--- /dev/null
+++ b/internal/node/blame/table.go
@@ -0,0 +1,274 @@
+// Package blame judges which requests crash the targets that run them.
+//
+// A target that crashes ends all its runs at once, and nothing tells which of them was
+// the cause. The cause is still the only request that is there each time: the others are
+// different requests at the next crash, or complete at another target, which clears
+// them. So a request becomes suspected by its first crash and is quarantined by crashes
+// of two targets, or by a third crash of the same one, without a completion in between.
+//
+// A quarantine is not for good, because targets get repaired. After it, the request
+// is suspected for a while: one more crash quarantines it again, for twice as long.
+//
+// All nodes judge alike because they judge the same evidence: crashes are only ever
+// added, and a completion cancels the crashes before it. Evidence can therefore be
+// merged in any order and more than once.
+package blame
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumrail/gypsumrail"
+)
+
+const (
+	// targetsToQuarantine is the number of targets that must have crashed. With two, a
+	// single node with wrong reports cannot have a request of others refused.
+	targetsToQuarantine = 2
+	// crashesToQuarantine is the number of crashes of one target that count as much, for
+	// services with a single target.
+	crashesToQuarantine = 3
+	// sameCrash is the time within which reports of crashes of one target are about the
+	// same crash. It is below the restart time of a process that has to serve requests.
+	sameCrash = gypsumrail.Second
+	// sameCompletion is the time within which reports of completions count as one. Ages in
+	// messages are imprecise by the time of their transport, and a report must not seem new
+	// at each node that passes it on.
+	sameCompletion = 100 * gypsumrail.Millis(1)
+	// suspicionTTL is the time for which a request is suspected after its first crash.
+	// Clients repeat a request within seconds.
+	suspicionTTL = gypsumrail.Minute
+	// quarantineMin is the first quarantine, and quarantineMax bounds its doubling.
+	quarantineMin = gypsumrail.Minute
+	quarantineMax = 64 * gypsumrail.Minute
+	// crashesMax bounds the crashes kept of one request. That many quarantine it for
+	// quarantineMax.
+	crashesMax = 8
+	// entriesMax bounds the requests with evidence. A large target runs a few hundred
+	// requests when it crashes. All of them fit into one message, with about 20 KB.
+	entriesMax = 2048
+)
+
+// crash is one crash of a target while it ran the request.
+type crash struct {
+	address string
+	at      gypsumrail.Millis
+}
+
+// entry is the evidence about one request.
+type entry struct {
+	crashes     []crash // since the last completion, oldest first
+	completed   bool
+	completedAt gypsumrail.Millis // of the last completion
+}
+
+// Table holds the evidence about all requests. It implements gypsumrail.Quarantine and
+// is not safe for concurrent use.
+type Table struct {
+	entries map[uint64]*entry
+	news    map[uint64]bool // entries that changed since the last call of News
+}
+
+var _ gypsumrail.Quarantine = (*Table)(nil)
+
+// New returns a table without evidence.
+func New() *Table {
+	return &Table{entries: make(map[uint64]*entry), news: make(map[uint64]bool)}
+}
+
+// RecordCrash records that the target beside the node with this address ended while it
+// ran a request.
+func (t *Table) RecordCrash(now gypsumrail.Millis, address string, fingerprint uint64) {
+	t.addCrash(now, fingerprint, crash{address, now})
+}
+
+func (t *Table) addCrash(now gypsumrail.Millis, fingerprint uint64, c crash) {
+	if fingerprint == 0 {
+		return
+	}
+	e := t.entry(now, fingerprint)
+	if e == nil || e.completed && c.at <= e.completedAt {
+		return
+	}
+	for _, known := range e.crashes {
+		if known.address == c.address && max(known.at-c.at, c.at-known.at) < sameCrash {
+			return
+		}
+	}
+	e.crashes = append(e.crashes, c)
+	slices.SortStableFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	e.crashes = e.crashes[max(0, len(e.crashes)-crashesMax):]
+	t.news[fingerprint] = true
+}
+
+// entry returns the entry of a request, which it adds if there is none. It returns nil if
+// the table is full.
+func (t *Table) entry(now gypsumrail.Millis, fingerprint uint64) *entry {
+	e := t.entries[fingerprint]
+	if e == nil && (len(t.entries) < entriesMax || t.evict(now)) {
+		e = &entry{}
+		t.entries[fingerprint] = e
+	}
+	return e
+}
+
+// RecordCompletion records that a target ran a request to its end.
+func (t *Table) RecordCompletion(now gypsumrail.Millis, fingerprint uint64) {
+	if e := t.entries[fingerprint]; e != nil && len(e.crashes) > 0 {
+		t.addCompletion(now, fingerprint, now)
+	}
+}
+
+// addCompletion cancels the crashes up to a completion. The entry stays until it
+// expires, so that a peer's older evidence does not bring them back.
+func (t *Table) addCompletion(now gypsumrail.Millis, fingerprint uint64, at gypsumrail.Millis) {
+	e := t.entry(now, fingerprint)
+	if e == nil || e.completed && at <= e.completedAt {
+		return
+	}
+	before := len(e.crashes)
+	e.crashes = slices.DeleteFunc(e.crashes, func(c crash) bool { return c.at <= at })
+	if e.completed && len(e.crashes) == before && at-e.completedAt < sameCompletion {
+		return
+	}
+	e.completed, e.completedAt = true, at
+	t.news[fingerprint] = true
+}
+
+// Judge returns the judgment of a request.
+func (t *Table) Judge(now gypsumrail.Millis, fingerprint uint64) gypsumrail.Judgment {
+	judgment := gypsumrail.Judgment{Fingerprint: fingerprint}
+	e := t.entries[fingerprint]
+	if e == nil || len(e.crashes) == 0 {
+		return judgment
+	}
+	standing, until := e.standing(now)
+	if standing == gypsumrail.Clear {
+		return judgment
+	}
+	judgment.Standing, judgment.Left = standing, until-now
+	for _, c := range e.crashes {
+		judgment.Crashes = append(judgment.Crashes, gypsumrail.Crash{Address: c.address, Age: max(0, now-c.at)})
+	}
+	return judgment
+}
+
+func (e *entry) lastCrash() gypsumrail.Millis { return e.crashes[len(e.crashes)-1].at }
+
+// standing returns the standing of a request with crashes, and when it ends.
+func (e *entry) standing(now gypsumrail.Millis) (gypsumrail.Standing, gypsumrail.Millis) {
+	term := e.term()
+	if term == 0 {
+		if until := e.lastCrash() + suspicionTTL; now < until {
+			return gypsumrail.Suspected, until
+		}
+		return gypsumrail.Clear, 0
+	}
+	if until := e.lastCrash() + term; now < until {
+		return gypsumrail.Quarantined, until
+	}
+	// As long again, so that the evidence is there when the request is tried.
+	if until := e.lastCrash() + 2*term; now < until {
+		return gypsumrail.Suspected, until
+	}
+	return gypsumrail.Clear, 0
+}
+
+// term returns the duration of the quarantine, or 0 if the evidence is too weak for one.
+func (e *entry) term() gypsumrail.Millis {
+	n := len(e.crashes)
+	if n < targetsToQuarantine || n < crashesToQuarantine && e.isOneTarget() {
+		return 0
+	}
+	return min(quarantineMin<<(n-targetsToQuarantine), quarantineMax)
+}
+
+func (e *entry) isOneTarget() bool {
+	return !slices.ContainsFunc(e.crashes, func(c crash) bool { return c.address != e.crashes[0].address })
+}
+
+// evict makes room for an entry. It drops the suspected or cleared request whose last
+// evidence is oldest, and returns false if all are quarantined.
+func (t *Table) evict(now gypsumrail.Millis) bool {
+	var oldest uint64
+	found := false
+	var oldestAt gypsumrail.Millis
+	for fingerprint, e := range t.entries {
+		if len(e.crashes) > 0 {
+			if standing, _ := e.standing(now); standing == gypsumrail.Quarantined {
+				continue
+			}
+		}
+		at := e.lastEvidence()
+		if !found || at < oldestAt || at == oldestAt && fingerprint < oldest {
+			found, oldest, oldestAt = true, fingerprint, at
+		}
+	}
+	if found {
+		t.drop(oldest)
+	}
+	return found
+}
+
+func (t *Table) drop(fingerprint uint64) {
+	delete(t.entries, fingerprint)
+	delete(t.news, fingerprint)
+}
+
+func (e *entry) lastEvidence() gypsumrail.Millis {
+	if len(e.crashes) > 0 {
+		return e.lastCrash()
+	}
+	return e.completedAt
+}
+
+// Expire drops evidence that no longer counts.
+func (t *Table) Expire(now gypsumrail.Millis) {
+	for fingerprint, e := range t.entries {
+		if e.expired(now) {
+			t.drop(fingerprint)
+		}
+	}
+}
+
+func (e *entry) expired(now gypsumrail.Millis) bool {
+	if len(e.crashes) == 0 {
+		return now-e.completedAt >= suspicionTTL
+	}
+	standing, _ := e.standing(now)
+	return standing == gypsumrail.Clear
+}
+
+// Judgments returns the requests that are not clear, quarantined ones first, then those
+// with the latest crash, and at most limit.
+func (t *Table) Judgments(now gypsumrail.Millis, limit int) []gypsumrail.Judgment {
+	var judgments []gypsumrail.Judgment
+	for fingerprint := range t.entries {
+		if j := t.Judge(now, fingerprint); j.Standing != gypsumrail.Clear {
+			judgments = append(judgments, j)
+		}
+	}
+	slices.SortFunc(judgments, func(a, b gypsumrail.Judgment) int {
+		return cmp.Or(cmp.Compare(a.Standing, b.Standing), cmp.Compare(lastAge(a), lastAge(b)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return judgments[:min(len(judgments), limit)]
+}
+
+func lastAge(j gypsumrail.Judgment) gypsumrail.Millis { return j.Crashes[len(j.Crashes)-1].Age }
+
+// Digest returns a hash of the evidence without its times, or 0 without any.
+func (t *Table) Digest() uint64 {
+	var digest uint64
+	for fingerprint, e := range t.entries {
+		if len(e.crashes) == 0 {
+			continue
+		}
+		buffer := binary.BigEndian.AppendUint64(nil, fingerprint)
+		buffer = append(buffer, byte(len(e.crashes)))
+		digest ^= xxhash.Sum64(buffer)
+	}
+	return digest
+}
--- a/internal/node/peer/convert.go
+++ b/internal/node/peer/convert.go
@@ -56,6 +56,8 @@
 		From: toInstance(e.From), Answer: e.Answer,
 		Buckets: e.Digest.Buckets[:],
 	}
+	m.Evidence = e.Digest.Evidence
+	addEvidence(m, e.Evidence)
 	for _, v := range e.Digest.Values[:min(len(e.Digest.Values), valuesMax)] {
 		m.Values = append(m.Values, toValue(v))
 	}
@@ -97,7 +99,9 @@
 		}
 		e.Entries = append(e.Entries, i)
 	}
-	return e, nil
+	e.Digest.Evidence = m.GetEvidence()
+	e.Evidence, err = fromEvidence(m)
+	return e, err
 }
 
 func toReport(r *gypsumrail.Report) *ReportMessage {
--- /dev/null
+++ b/internal/node/peer/evidence.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/wire"
+)
+
+const (
+	// evidenceMax bounds the fingerprints in one message, each counted as often as it
+	// occurs. They take 24 KB; directory entries take half of ExchangeMax.
+	evidenceMax = 3072
+	// ageMax bounds the ages of evidence. It exceeds the longest time for which evidence
+	// counts.
+	ageMax = 24 * 60 * gypsumrail.Minute
+)
+
+// addEvidence adds the evidence to a message, and leaves out what exceeds evidenceMax.
+func addEvidence(m *ExchangeMessage, e gypsumrail.Evidence) {
+	left := evidenceMax
+	take := func(requests []uint64) []uint64 {
+		requests = requests[:min(len(requests), left)]
+		left -= len(requests)
+		return requests
+	}
+	for _, c := range e.Completions {
+		if requests := take(c.Requests); len(requests) > 0 {
+			m.Completions = append(m.Completions, &CompletionMessage{Age: clampAge(c.Age), Requests: requests})
+		}
+	}
+	for _, c := range e.Crashes {
+		if requests := take(c.Requests); len(requests) > 0 {
+			m.Crashes = append(m.Crashes, &CrashMessage{Address: c.Address, Age: clampAge(c.Age), Requests: requests})
+		}
+	}
+}
+
+// clampAge clamps an age to its range.
+func clampAge(age gypsumrail.Millis) uint32 { return uint32(min(max(age, 0), ageMax)) }
+
+// fromEvidence reads the evidence of a message. Errors wrap ErrMalformed.
+func fromEvidence(m *ExchangeMessage) (gypsumrail.Evidence, error) {
+	var e gypsumrail.Evidence
+	total := 0
+	for _, c := range m.GetCrashes() {
+		if !wire.ValidAddress(c.GetAddress()) || gypsumrail.Millis(c.GetAge()) > ageMax {
+			return gypsumrail.Evidence{}, fmt.Errorf("%w: crash at %.64q", ErrMalformed, c.GetAddress())
+		}
+		total += len(c.GetRequests())
+		e.Crashes = append(e.Crashes, gypsumrail.Crash{Address: c.GetAddress(), Age: gypsumrail.Millis(c.GetAge()), Requests: c.GetRequests()})
+	}
+	for _, c := range m.GetCompletions() {
+		if gypsumrail.Millis(c.GetAge()) > ageMax {
+			return gypsumrail.Evidence{}, fmt.Errorf("%w: completion %d ms ago", ErrMalformed, c.GetAge())
+		}
+		total += len(c.GetRequests())
+		e.Completions = append(e.Completions, gypsumrail.Completion{Age: gypsumrail.Millis(c.GetAge()), Requests: c.GetRequests()})
+	}
+	if total > evidenceMax {
+		return gypsumrail.Evidence{}, fmt.Errorf("%w: evidence about %d requests", ErrMalformed, total)
+	}
+	return e, nil
+}
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -276,6 +276,9 @@
 	if err == nil {
 		k.arrival.RateLimit, err = parseRateLimit(h.Peek(wire.HeaderRateLimit))
 	}
+	if crashes := h.Peek(headerCrashes); err == nil && len(crashes) > 0 {
+		k.arrival.Crashes, err = wire.ParseCrashes(string(crashes))
+	}
 	if err != nil {
 		c.reject(k.request, http.StatusBadRequest, wire.ReasonMalformed, true)
 		return false
--- a/internal/node/relay/headers.go
+++ b/internal/node/relay/headers.go
@@ -31,6 +31,8 @@
 	headerCall   = "Gypsumrail-Call"   // on a request; see appendCall
 	headerAnswer = "Gypsumrail-Answer" // on an answer; see appendAnswer
 	headerUses   = "Gypsumrail-Uses"   // on an answer: services that the class was seen to call, separated by commas
+	// On a request: crashes of targets that ran it; see wire.FormatCrashes.
+	headerCrashes = "Gypsumrail-Crashes"
 )
 
 // errHeader means that a header between nodes is missing or malformed.
@@ -39,7 +41,7 @@
 // hopByHopHeaders are valid for one connection only and are not passed on.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", headerCall, headerAnswer, wire.HeaderRateLimit,
+	"Transfer-Encoding", "Upgrade", "Expect", headerCall, headerAnswer, headerCrashes, wire.HeaderRateLimit,
 }
 
 func appendHeader(dst []byte, name, value string) []byte {
@@ -127,6 +129,9 @@
 	}
 	dst[len(dst)-1] = '\r'
 	dst = append(dst, '\n')
+	if len(e.Crashes) > 0 {
+		dst = appendHeader(dst, headerCrashes, wire.FormatCrashes(e.Crashes))
+	}
 	return appendRateLimit(dst, e.RateLimit)
 }
 
--- a/internal/node/setup/parts.go
+++ b/internal/node/setup/parts.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/blame"
 	"github.com/gypsumrail/gypsumrail/internal/node/values"
 	"github.com/gypsumrail/gypsumrail/ledger"
 	"github.com/gypsumrail/gypsumrail/limit"
@@ -30,14 +31,15 @@
 // New returns the parts of the node that runs as the instance self.
 func New(self gypsumrail.Instance, settings Settings) core.Parts {
 	return core.Parts{
-		Limiter:   limit.New(settings.Limit),
-		Queue:     queue.New(settings.Queue),
-		Shedder:   shed.New(settings.Shed),
-		Router:    route.New(self, settings.Route),
-		Budget:    retry.New(settings.Retry),
-		Ledger:    ledger.New(self, settings.Ledger),
-		Directory: member.New(self, settings.Member),
-		Values:    values.New(settings.Values),
+		Limiter:    limit.New(settings.Limit),
+		Queue:      queue.New(settings.Queue),
+		Shedder:    shed.New(settings.Shed),
+		Router:     route.New(self, settings.Route),
+		Budget:     retry.New(settings.Retry),
+		Ledger:     ledger.New(self, settings.Ledger),
+		Directory:  member.New(self, settings.Member),
+		Values:     values.New(settings.Values),
+		Quarantine: blame.New(),
 	}
 }
 
--- a/internal/node/setup/plain.go
+++ b/internal/node/setup/plain.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/blame"
 	"github.com/gypsumrail/gypsumrail/internal/node/values"
 	"github.com/gypsumrail/gypsumrail/ledger"
 	"github.com/gypsumrail/gypsumrail/limit"
@@ -60,10 +61,11 @@
 		Router: route.New(self, route.Settings{
 			Tuning: settings.Tuning, LeavingTime: leavingPause, ZoneFactor: zoneFactor, ProbeAfter: probeAfter,
 		}),
-		Budget:    retry.New(retry.Settings{Share: settings.RetryShare, Burst: settings.RetryBurst}),
-		Ledger:    ledger.New(self, ledger.Settings{}),
-		Directory: member.NewListed(self),
-		Values:    values.New(values.Settings{}),
+		Budget:     retry.New(retry.Settings{Share: settings.RetryShare, Burst: settings.RetryBurst}),
+		Ledger:     ledger.New(self, ledger.Settings{}),
+		Directory:  member.NewListed(self),
+		Values:     values.New(values.Settings{}),
+		Quarantine: blame.New(),
 	}
 }
 
--- a/internal/node/wire/problem.go
+++ b/internal/node/wire/problem.go
@@ -48,6 +48,8 @@
 	gypsumrail.ReasonSilent:       {http.StatusGatewayTimeout, "The connection stopped carrying data"},
 	gypsumrail.ReasonBroken:       {http.StatusBadGateway, "The connection broke before a whole answer"},
 	gypsumrail.ReasonCrashed:      {http.StatusBadGateway, "The target ended while it ran the request"},
+	gypsumrail.ReasonQuarantined:  {http.StatusServiceUnavailable, "Requests with the same content crashed several targets"},
+	gypsumrail.ReasonSuspected:    {http.StatusServiceUnavailable, "A target crashed while it ran such a request, and other such requests are tried first"},
 	gypsumrail.ReasonConnect:      {http.StatusBadGateway, "No connection could be opened"},
 	gypsumrail.ReasonCallerGone:   {http.StatusServiceUnavailable, "The caller left"},
 	gypsumrail.ReasonSuperseded:   {http.StatusConflict, "A resend of the same request took over"},
--- a/member.go
+++ b/member.go
@@ -29,6 +29,8 @@
 type Digest struct {
 	Buckets [DigestBuckets]uint64
 	Values  []ValueVersion
+
+	Evidence uint64 `json:",omitempty"` // Quarantine.Digest
 }
 
 // DigestBuckets is the number of buckets into which the directory is hashed by
--- a/names.go
+++ b/names.go
@@ -85,6 +85,8 @@
 	ReasonSilent       Reason = "Silent"       // the connection stopped carrying data
 	ReasonBroken       Reason = "Broken"       // the connection broke before a whole answer
 	ReasonCrashed      Reason = "Crashed"      // the target ended while it ran the call
+	ReasonQuarantined  Reason = "Quarantined"  // requests with the same content crashed several targets; see Quarantine
+	ReasonSuspected    Reason = "Suspected"    // the request may crash targets, and others that may are tried first
 	ReasonConnect      Reason = "Connect"      // no connection could be opened, so nothing was sent
 	ReasonCallerGone   Reason = "CallerGone"   // the caller left
 	ReasonSuperseded   Reason = "Superseded"   // a resend of the same request gets the answer instead
