Doubt answers without an identity on connections that carried other requests

What callers saw: a target wrote an earlier refusal once more on a kept connection, ahead of its next answer. Callers of later requests were told 503, not run, and their request ran (REFUSED); with another target, a request that may not be repeated ran twice (TWICE).

Cause: an answer of status 300 or more without an identity was taken for the waiting request's, and its statement 'not run' was believed. An answer was charged to the request at hand.

Change: such an answer is skipped on a connection that carried another request, and taken on a new one, where its 'not run' counts as unknown and no other request follows. The node that takes it adds the identity, so that the next node need not doubt it. The pool tells connections that were idle from those that carried a request, because the check whether a target has ended leaves new ones there.

--- a/internal/node/pool/pool.go
+++ b/internal/node/pool/pool.go
@@ -47,7 +47,8 @@
 type Conn struct {
 	net.Conn
 	Reader        *bufio.Reader
-	Reused        bool         // it has carried an exchange before
+	Reused        bool         // it was idle in the pool, so the other end may have closed it
+	Used          bool         // it has carried an exchange; set by the caller
 	PendingWrites atomic.Int32 // writes concurrent with the reading of an answer, in progress or failed
 
 	host       string
@@ -116,7 +117,7 @@
 	return c
 }
 
-// Put returns a connection to the pool after a complete exchange. The parameter
+// Put returns a connection to the pool after a complete exchange, or unused. The parameter
 // keep is how long the other end keeps the connection open, or zero if unknown;
 // the pool does not reuse the connection after that time. Put closes a connection
 // that has unread bytes, since a later exchange would take them for its answer.
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -49,10 +50,12 @@
 	host     string
 	message  []byte // the head and as much of the body as is written before the answer is read
 	rest     []byte // of the body
-	request  string // identity that the answer must echo; an error status may omit it
+	request  string // identity that the answer must echo; see read
 	header   string // name of the header with the identity
 	isHead   bool
 	deadline time.Time // for sending; the answer is read until readGrace after it
+
+	unidentified bool // the answer has no identity, so what it states proves nothing about the request
 }
 
 // setMessage sets the request to a head and a body. It does not copy a large body, which
@@ -82,6 +85,7 @@
 		return nil
 	}
 	_ = conn.SetDeadline(time.Time{})
+	conn.Used = true
 	x.pool.Put(conn, keep)
 	return nil
 }
@@ -137,7 +141,9 @@
 }
 
 // read reads the answer to the request and returns the number of answers to other
-// requests that it skipped.
+// requests that it skipped. An answer without an identity may be a copy of an earlier one
+// if the connection carried another request before; it is skipped then. Otherwise it is
+// taken if it states an error, and no other request follows on the connection.
 func (x *httpExchange) read(conn *pool.Conn, response *fasthttp.Response) (int, error) {
 	for mismatched := 0; ; mismatched++ {
 		response.Reset()
@@ -151,7 +157,12 @@
 			response.Header.SetConnectionClose()
 		}
 		echoed := response.Header.Peek(x.header)
-		if string(echoed) == x.request || len(echoed) == 0 && response.StatusCode() >= 300 {
+		if string(echoed) == x.request {
+			return mismatched, nil
+		}
+		if len(echoed) == 0 && !conn.Used && mismatched == 0 && response.StatusCode() >= http.StatusMultipleChoices {
+			x.unidentified = true
+			response.Header.SetConnectionClose()
 			return mismatched, nil
 		}
 		if mismatched == mismatchedAnswersMax {
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -148,6 +148,13 @@
 	err := x.do(a, response)
 	if err == nil {
 		result = r.classifyAnswer(response)
+		if x.unidentified {
+			// The next node would otherwise have to doubt the answer again.
+			response.Header.Set(x.header, x.request)
+			if result.Outcome == gypsumrail.NotRun {
+				result.Outcome, result.Reason = gypsumrail.Unknown, gypsumrail.ReasonBroken
+			}
+		}
 	} else {
 		result = resultOf(err)
 		switch {
