Send no calls to targets that are down, however many are

What callers saw: when a request had crashed two of the three targets of a service, up to 700 of 1,300 requests in two seconds failed although the third target had room: most of their calls went to the nodes beside the dead targets.

Cause: ejections are ignored once more than half of a service is ejected, so that a fault of most targets does not overload the rest. That holds for targets that fail, not for those at whose address nothing accepts connections: they serve nothing in any case.

Change: an upstream that cannot be reached, or whose node cannot reach its target, is down while it is ejected. It is chosen only if no other is usable and does not count towards the half. A crash ejects at once, as a failed connection does.

Evidence: three new cases of route TestEligible, of which two failed before.

--- a/route/eject.go
+++ b/route/eject.go
@@ -22,28 +22,29 @@
 
 // ejectMisdirected ejects an upstream whose address now belongs to another instance.
 func (u *upstream) ejectMisdirected(now gypsumrail.Millis) {
-	u.ejectedUntil = now + ejectTimeMisdirected
+	u.ejectedUntil, u.unreachable = now+ejectTimeMisdirected, false
 	u.service.recountEjected = true
 }
 
-// ejectUnreachable ejects an upstream at its first failed connection. Such a
-// failure is not random, and each further attempt costs a call the time of a
-// handshake.
+// ejectUnreachable ejects an upstream at its first failed connection, or when its target
+// ended. Such a failure is not random, and each further attempt costs a call the time of
+// a handshake.
 func (u *upstream) ejectUnreachable(now gypsumrail.Millis) {
 	if !u.ejected(now) {
 		u.failures = failuresToEject - 1
 	}
-	u.countFailure(now)
+	u.countFailure(now, true)
 }
 
 // countFailure counts a failed attempt. The fifth consecutive failure ejects the
 // upstream. Each further failure ejects it again, for twice as long up to
 // ejectTimeMax, until an answer resets the count. Failures during an ejection
 // belong to calls sent before it and do not count.
-func (u *upstream) countFailure(now gypsumrail.Millis) {
+func (u *upstream) countFailure(now gypsumrail.Millis, unreachable bool) {
 	if u.ejected(now) {
 		return
 	}
+	u.unreachable = unreachable
 	u.failures = min(u.failures+1, failuresToEject)
 	if u.failures < failuresToEject {
 		return
@@ -56,10 +57,10 @@
 	u.service.recountEjected = true
 }
 
-// checkEjections reports whether ejections apply: at least one upstream of the
-// service is ejected, but not more than half. If more than half fail, the cause
-// is not in single upstreams, and ejecting them would only overload the rest. The
-// result is cached until an ejection starts or ends.
+// checkEjections reports whether ejections apply: of the upstreams of the service that
+// are not down, at least one is ejected, but not more than half. If more than half fail,
+// the cause is not in single upstreams, and ejecting them would only overload the rest.
+// The result is cached until an ejection starts or ends.
 func (s *service) checkEjections(now gypsumrail.Millis) bool {
 	if !s.recountEjected && now < s.countValidUntil {
 		return s.ejectionApplies
@@ -70,10 +71,15 @@
 		if u.leaving {
 			continue
 		}
+		if u.ejected(now) {
+			s.countValidUntil = min(s.countValidUntil, u.ejectedUntil)
+		}
+		if u.down(now) {
+			continue
+		}
 		all++
 		if u.ejected(now) {
 			ejectedCount++
-			s.countValidUntil = min(s.countValidUntil, u.ejectedUntil)
 		}
 	}
 	s.ejectionApplies = ejectedCount > 0 && 2*ejectedCount <= all
--- a/route/explain.go
+++ b/route/explain.go
@@ -15,8 +15,8 @@
 	if s == nil {
 		return nil
 	}
-	if q.skipEjected && s.mostEjectedOrLost(&q) && !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable(&q) }) {
-		q.skipEjected = false // as in Choose
+	if s.mostEjectedOrLost(&q) && !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable(&q) }) {
+		q.skipEjected, q.skipDown = false, false // as in Choose
 	}
 	out := make([]gypsumrail.Explained, 0, len(s.upstreams))
 	for _, u := range s.upstreams {
@@ -42,6 +42,8 @@
 		return "it was already tried", false
 	case u.refuses(q):
 		return "its reported threshold is above the level", false
+	case u.down(q.now) && q.skipDown:
+		return "it is ejected: its node or its target cannot be reached", false
 	case u.ejected(q.now) && q.skipEjected:
 		return "it is ejected after repeated failures", false
 	case u.ejected(q.now):
--- a/route/results.go
+++ b/route/results.go
@@ -56,10 +56,10 @@
 	case gypsumrail.ReasonSilent, gypsumrail.ReasonCallerGone, gypsumrail.ReasonSuperseded:
 	case gypsumrail.ReasonMisdirected:
 		u.ejectMisdirected(now)
-	case gypsumrail.ReasonConnect:
+	case gypsumrail.ReasonConnect, gypsumrail.ReasonCrashed:
 		u.ejectUnreachable(now)
 	default:
-		u.countFailure(now)
+		u.countFailure(now, reason == gypsumrail.ReasonTargetFailed)
 	}
 	r.removeIfUnused(u)
 }
@@ -98,7 +98,7 @@
 	}
 	switch {
 	case report.Leaving && leavingTime > 0:
-		u.ejectedUntil = now + leavingTime
+		u.ejectedUntil, u.unreachable = now+leavingTime, false
 		u.service.recountEjected = true
 	case report.Leaving && !u.leaving:
 		u.leaving = true // final for this incarnation
--- a/route/route.go
+++ b/route/route.go
@@ -16,7 +16,8 @@
 //   - stays in its own zone unless another zone is faster by more than the delay
 //     between the zones,
 //   - gives cold upstreams a share that grows during the service's slow start,
-//   - ejects upstreams that fail repeatedly, unless most of the service fails,
+//   - ejects upstreams that cannot be reached, and those that fail repeatedly unless
+//     most of the service fails,
 //   - skips upstreams whose reported threshold refuses the level.
 package route
 
@@ -104,6 +105,7 @@
 	capabilities    uint64 // bits, see service.capabilityBits
 	exclude         []string
 	random          uint64
+	skipDown        bool // do not choose upstreams that are down
 	skipEjected     bool // do not choose ejected upstreams
 	allowSuspect    bool // choose suspect upstreams too
 	ignoreSlowStart bool // give cold upstreams their full share
@@ -121,8 +123,8 @@
 	var random rand.PCG
 	random.Seed(choice.Random, 0)
 	best := s.best(&q, &random)
-	if best == nil && q.skipEjected && s.mostEjectedOrLost(&q) {
-		q.skipEjected = false
+	if best == nil && s.mostEjectedOrLost(&q) {
+		q.skipEjected, q.skipDown = false, false
 		best = s.best(&q, &random)
 	}
 	if best == nil && s.suspects > 0 {
@@ -161,7 +163,7 @@
 	need, ok := s.capabilityBits(choice.Capabilities)
 	return s, query{
 		now: now, level: choice.Level, capabilities: need, exclude: choice.Exclude, random: choice.Random,
-		skipEjected: s.checkEjections(now),
+		skipDown: true, skipEjected: s.checkEjections(now),
 	}, ok
 }
 
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -154,6 +154,21 @@
 		{"callers that left", 3, nil, func(r *testRouter) { r.fail(0, 0, 50, gypsumrail.ReasonCallerGone) }, 1, gypsumrail.Choice{}, "[0 1 2]"},
 		{"half fail", 4, nil, func(r *testRouter) { r.fail(0, 0, 5, ""); r.fail(0, 1, 5, "") }, 1, gypsumrail.Choice{}, "[2 3]"},
 		{"more than half fail", 4, nil, func(r *testRouter) { r.fail(0, 0, 5, ""); r.fail(0, 1, 5, ""); r.fail(0, 2, 5, "") }, 1, gypsumrail.Choice{}, "[0 1 2 3]"},
+		{"more than half cannot be reached", 4, nil, func(r *testRouter) {
+			r.fail(0, 0, 1, gypsumrail.ReasonConnect)
+			r.fail(0, 1, 5, gypsumrail.ReasonTargetFailed)
+			r.fail(0, 2, 1, gypsumrail.ReasonCrashed)
+		}, 1, gypsumrail.Choice{}, "[3]"},
+		{"most of those that can be reached fail", 5, nil, func(r *testRouter) {
+			r.fail(0, 0, 1, gypsumrail.ReasonConnect)
+			r.fail(0, 1, 1, gypsumrail.ReasonConnect)
+			r.fail(0, 2, 5, "")
+			r.fail(0, 3, 5, "")
+		}, 1, gypsumrail.Choice{}, "[2 3 4]"},
+		{"none can be reached", 2, nil, func(r *testRouter) {
+			r.fail(0, 0, 1, gypsumrail.ReasonConnect)
+			r.fail(0, 1, 1, gypsumrail.ReasonConnect)
+		}, 1, gypsumrail.Choice{}, "[0 1]"},
 		{"ejections apply again once one has ended", 4, nil, func(r *testRouter) {
 			r.fail(0, 0, 5, "")
 			r.fail(500, 1, 5, "")
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -63,6 +63,7 @@
 	failures     int // consecutive
 	ejections    int // consecutive
 	ejectedUntil gypsumrail.Millis
+	unreachable  bool // the last failure was that nothing accepts connections: the node or its target is down
 }
 
 // capable reports whether an upstream has the needed capabilities and is not leaving.
@@ -76,6 +77,10 @@
 
 func (u *upstream) ejected(now gypsumrail.Millis) bool { return u.ejectedUntil > now }
 
+// down reports whether an upstream is ejected because it cannot be reached. Unlike one
+// that fails, it serves nothing, however many others are ejected.
+func (u *upstream) down(now gypsumrail.Millis) bool { return u.unreachable && u.ejected(now) }
+
 func (u *upstream) excluded(q *query) bool {
 	return len(q.exclude) > 0 && slices.Contains(q.exclude, u.Instance.Name)
 }
@@ -84,6 +89,7 @@
 	return u.capable(q) &&
 		!u.detector.lost &&
 		(q.allowSuspect || !u.suspect) &&
+		(!q.skipDown || !u.down(q.now)) &&
 		(!q.skipEjected || !u.ejected(q.now)) &&
 		!u.refuses(q) &&
 		!u.excluded(q)
