Take no retry from the budget for a target that was not reached

A node that could not connect to its target answered TargetFailed, not run. The sender took that for load on a target, so a resend needed the retry budget and an allowance, which calls of targets have not: 995 calls in two seconds were refused after one attempt.

Change: TargetFailed with the outcome NotRun is a free refusal, like a failed connection to a node, at most three for one call.

Evidence: core TestFreeRefusals/TargetFailed (1 upstream tried before, 4 now).

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -56,11 +56,11 @@
 func (n *Node) attemptRan(s *senderCall, attempt int, result *gypsumrail.Result) {
 	overloaded := isOverloadStatus(result.Status)
 	// TargetBusy is not a free refusal: the attempt put load on a target.
-	if overloaded && s.class.Repeatable && n.parts.Router.HasRoom(n.now, n.callChoice(s)) && n.mayRetry(s, gypsumrail.ReasonTargetBusy) {
+	if overloaded && s.class.Repeatable && n.parts.Router.HasRoom(n.now, n.callChoice(s)) && n.mayRetry(s, gypsumrail.Ran, gypsumrail.ReasonTargetBusy) {
 		s.attempts[attempt-1].open = false
 		n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: s.call, Attempt: attempt})
 		s.mayHaveRun = true
-		n.retry(s, gypsumrail.ReasonTargetBusy)
+		n.retry(s, gypsumrail.Ran, gypsumrail.ReasonTargetBusy)
 		return
 	}
 	if result.Status < http.StatusInternalServerError {
@@ -134,8 +134,8 @@
 			return
 		}
 	}
-	if n.mayRetry(s, reason) {
-		n.retry(s, reason)
+	if n.mayRetry(s, outcome, reason) {
+		n.retry(s, outcome, reason)
 		return
 	}
 	n.refuseSenderCall(s, reason)
@@ -147,10 +147,10 @@
 	return reason == gypsumrail.ReasonSilent || reason == gypsumrail.ReasonBroken || reason == gypsumrail.ReasonCrashed
 }
 
-// mayRetry reports whether another attempt is allowed after one that ended for
-// the reason. With RetryChain it takes the retry from the retry budget, unless
+// mayRetry reports whether another attempt is allowed after one that ended with the
+// outcome and reason. With RetryChain it takes the retry from the retry budget, unless
 // the refusal is free.
-func (n *Node) mayRetry(s *senderCall, reason gypsumrail.Reason) bool {
+func (n *Node) mayRetry(s *senderCall, outcome gypsumrail.Outcome, reason gypsumrail.Reason) bool {
 	if !isRetryable(reason) || s.deadline <= n.now || n.isQuarantined(s.fingerprint) {
 		return false
 	}
@@ -161,7 +161,7 @@
 	if pinned && !isAnswerLost(reason) {
 		return false
 	}
-	if reachedTarget(reason) && !attemptsLeft(s) {
+	if reachedTarget(outcome, reason) && !attemptsLeft(s) {
 		return false
 	}
 	switch n.settings.Retry {
@@ -170,7 +170,7 @@
 	case RetryPerHop:
 		return len(s.attempts) <= n.settings.RetriesPerHop
 	}
-	if n.settings.FreeRefusals && !reachedTarget(reason) {
+	if n.settings.FreeRefusals && !reachedTarget(outcome, reason) {
 		return s.freeRefusals < freeRefusalsMax && (!isOverloadReason(reason) || n.parts.Router.HasRoom(n.now, n.callChoice(s)))
 	}
 	if s.allowance.Left() < 1 {
@@ -186,12 +186,14 @@
 // so that a call does not go through all instances of a full service.
 const freeRefusalsMax = 3
 
-// reachedTarget reports whether an attempt that ended for the reason may have
-// put load on a target. A refusal by the node and a failed connection put no
-// load on it.
-func reachedTarget(reason gypsumrail.Reason) bool {
+// reachedTarget reports whether an attempt that ended with the outcome and reason may
+// have put load on a target. A refusal by the node and a failed connection, of the
+// sender to the node or of the node to its target, put no load on it.
+func reachedTarget(outcome gypsumrail.Outcome, reason gypsumrail.Reason) bool {
 	switch reason {
-	case gypsumrail.ReasonTargetBusy, gypsumrail.ReasonTargetFailed, gypsumrail.ReasonBroken, gypsumrail.ReasonCrashed,
+	case gypsumrail.ReasonTargetFailed:
+		return outcome != gypsumrail.NotRun
+	case gypsumrail.ReasonTargetBusy, gypsumrail.ReasonBroken, gypsumrail.ReasonCrashed,
 		gypsumrail.ReasonSilent, gypsumrail.ReasonMisdirected:
 		return true
 	}
@@ -219,9 +221,9 @@
 
 // retry makes another attempt after mayRetry allowed it. With RetryChain it
 // spends one retry of the allowance, unless the refusal is free.
-func (n *Node) retry(s *senderCall, reason gypsumrail.Reason) {
+func (n *Node) retry(s *senderCall, outcome gypsumrail.Outcome, reason gypsumrail.Reason) {
 	switch {
-	case n.settings.FreeRefusals && !reachedTarget(reason):
+	case n.settings.FreeRefusals && !reachedTarget(outcome, reason):
 		s.freeRefusals++
 	case n.settings.Retry == RetryChain:
 		s.allowance.Spend()
--- a/core/failure_detection.go
+++ b/core/failure_detection.go
@@ -53,13 +53,13 @@
 		if _, reason := n.parts.Router.Choose(n.now, n.callChoice(s)); reason != gypsumrail.ReasonNone {
 			continue
 		}
-		if !n.mayRetry(s, gypsumrail.ReasonSilent) {
+		if !n.mayRetry(s, gypsumrail.Unknown, gypsumrail.ReasonSilent) {
 			continue
 		}
 		t.open = false
 		n.parts.Router.Failed(n.now, name, gypsumrail.ReasonSilent)
 		n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelAttempt, Call: call, Attempt: len(s.attempts)})
 		s.mayHaveRun = true
-		n.retry(s, gypsumrail.ReasonSilent)
+		n.retry(s, gypsumrail.Unknown, gypsumrail.ReasonSilent)
 	}
 }
--- a/core/plain_test.go
+++ b/core/plain_test.go
@@ -84,10 +84,18 @@
 	}
 }
 
-// Refusals by nodes do not use up the retry budget, which bounds the load of targets.
+// Refusals by nodes do not use up the retry budget, which bounds the load of targets: no
+// target is reached by a refusal, nor if the node cannot connect to its target.
 // A call that gets only refusals ends after four upstreams and does not visit the
 // whole service.
 func TestFreeRefusals(t *testing.T) {
+	for _, reason := range []gypsumrail.Reason{gypsumrail.ReasonDraining, gypsumrail.ReasonTargetFailed} {
+		t.Run(string(reason), func(t *testing.T) { testFreeRefusals(t, reason) })
+	}
+}
+
+func testFreeRefusals(t *testing.T, reason gypsumrail.Reason) {
+	t.Helper()
 	n := plainNode(t, gypsumrail.Class{Service: "back", Unkeyed: true})
 	e := arrive(n, 1, 10)
 	tried := map[string]bool{}
@@ -98,7 +106,7 @@
 		tried[e.To.Name] = true
 		e = effectOf(n.Step(&gypsumrail.Event{
 			Kind: gypsumrail.AttemptAnswered, Call: 1, Attempt: attempt, At: 20,
-			Result: &gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonDraining},
+			Result: &gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: reason},
 		}), gypsumrail.Forward, gypsumrail.Refuse)
 	}
 	if len(tried) != 4 || e.Outcome != gypsumrail.NotRun {
--- a/core/resolve.go
+++ b/core/resolve.go
@@ -89,8 +89,8 @@
 	switch outcome {
 	case gypsumrail.NotRun:
 		s.knownNotRun = true
-		if n.mayRetry(s, gypsumrail.ReasonBroken) {
-			n.retry(s, gypsumrail.ReasonBroken)
+		if n.mayRetry(s, gypsumrail.NotRun, gypsumrail.ReasonBroken) {
+			n.retry(s, gypsumrail.NotRun, gypsumrail.ReasonBroken)
 			return
 		}
 		n.refuseSenderCall(s, gypsumrail.ReasonBroken)
