Quarantine a request only after a crash on trial, or a third crash

Cause: two targets that end together, for a reason of their own (a rack, a release), may both run equal requests of one caller, such as a popular read. Two crashes within a millisecond were enough for a quarantine of a minute, and the request was refused to all. By their number alone, terms also allowed more than three further sends after the third crash: one at each end of a term, up to 64 minutes.

Change: a crash carries whether the run began when the request was suspected already. Two targets count only with such a crash, other requests need three. The terms are 1, 2, 4 and 8 minutes and from the sixth crash on 12 hours.

The case 'two targets' of blame TestStanding expected the old verdict; it is replaced by the same case with the second crash on trial, which is as strict about the time, and by one without.

Evidence: TestStanding 'two targets that end together' and 'is tried three times after the third crash' (quarantined, and 32 minutes, before).

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -28,7 +28,7 @@
 	s.allowance.Return(&t.portion, result.AllowanceLeft)
 	n.recordAnswer(t.upstream, s.service, s.class.Name, result)
 	if result.Reason == gypsumrail.ReasonCrashed {
-		n.recordCrash(t.upstream.Address, s.fingerprint)
+		n.recordCrash(t.upstream.Address, s.fingerprint, t.onTrial)
 	}
 	if result.Stated != nil && result.Stated.Leaving {
 		n.recordLeaving(t.upstream)
--- a/core/calls.go
+++ b/core/calls.go
@@ -51,6 +51,7 @@
 	portion     retry.Portion     // the part of the call's allowance that this attempt carries
 	open        bool              // no result yet, or the body of its answer is being passed on
 	local       bool              // the upstream is the own target
+	onTrial     bool              // the call was suspected when the attempt was sent; see Crash.OnTrial
 	homeAttempt gypsumrail.HomeAttempt
 }
 
@@ -75,6 +76,7 @@
 	started          gypsumrail.Millis // point in time
 	inFlight         int               // running calls when this one started, itself included
 	running          bool
+	onTrial          bool // it was suspected when its run began; see Crash.OnTrial
 	answered         bool
 	overloaded       bool // the target shed the call itself; see isOverloadStatus
 	succeeded        bool // the head of the target's answer states no failure of the target
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -50,7 +50,7 @@
 		return false
 	case gypsumrail.Suspected:
 		if n.suspicions.running == 0 {
-			n.suspicions.running = v.call
+			n.suspicions.running, v.onTrial = v.call, true
 			return true
 		}
 		wait := gypsumrail.Millis(float64(len(n.suspicions.waiting)+1) * n.meanRunTime(v.class.Name))
@@ -130,16 +130,16 @@
 }
 
 // recordCrash records that the target beside the node with this address ended while it
-// ran a request.
-func (n *Node) recordCrash(address string, fingerprint uint64) {
-	n.parts.Quarantine.RecordCrash(n.now, address, fingerprint)
+// ran a request; see Crash.OnTrial.
+func (n *Node) recordCrash(address string, fingerprint uint64, onTrial bool) {
+	n.parts.Quarantine.RecordCrash(n.now, address, fingerprint, onTrial)
 	n.noteVerdict(fingerprint)
 }
 
 // recordOwnCrash records that the own target ended while it ran a call. It logs one line
 // for all runs that the same crash broke.
 func (n *Node) recordOwnCrash(v *receiverCall) {
-	n.recordCrash(n.self.Address, v.fingerprint)
+	n.recordCrash(n.self.Address, v.fingerprint, v.onTrial)
 	if s := &n.suspicions; !s.crashed || n.now-s.crashedAt > crashPause {
 		s.crashed = true
 		n.counts.Crashes++
--- a/core/send.go
+++ b/core/send.go
@@ -196,7 +196,8 @@
 // upstream it asks one for its epoch, waits for one to appear, or refuses the
 // call.
 func (n *Node) dispatch(s *senderCall) {
-	upstream, reason := n.chooseUpstream(s)
+	judgment := n.parts.Quarantine.Judge(n.now, s.fingerprint)
+	upstream, reason := n.chooseUpstream(s, &judgment)
 	if reason == gypsumrail.ReasonNoUpstream && s.ownKey && n.askEpoch(s) {
 		return
 	}
@@ -211,7 +212,7 @@
 	portion := s.allowance.Grant(service != nil && len(service.Dependencies) > 0 || len(n.usesOf(s.class.Name)) > 0)
 	attempt := gypsumrail.HomeAttempt(s.attempt*attemptsPerCaller + len(s.attempts) + 1)
 	local := upstream.Name == n.self.Name || upstream.Address != "" && upstream.Address == n.self.Address
-	s.attempts = append(s.attempts, callAttempt{upstream: upstream, sent: n.now, portion: portion, open: true, local: local, homeAttempt: attempt})
+	s.attempts = append(s.attempts, callAttempt{upstream: upstream, sent: n.now, portion: portion, open: true, local: local, onTrial: judgment.Standing != gypsumrail.Clear, homeAttempt: attempt})
 	s.tried = append(s.tried, upstream.Name)
 	n.parts.Router.Sent(n.now, upstream.Name)
 	if local {
@@ -221,7 +222,7 @@
 	effect := gypsumrail.Effect{
 		Kind: gypsumrail.Forward, Call: s.call, Attempt: len(s.attempts), To: upstream, Deadline: s.deadline,
 		Allowance: portion.Size(), Importance: s.importance, Invested: s.invested, Key: s.keyText, Kept: s.exempt,
-		RateLimit: n.parts.Router.RateLimit(n.now, upstream.Name), Crashes: n.parts.Quarantine.Judge(n.now, s.fingerprint).Crashes,
+		RateLimit: n.parts.Router.RateLimit(n.now, upstream.Name), Crashes: judgment.Crashes,
 	}
 	if s.keyText != "" {
 		effect.HomeAttempt = attempt
@@ -231,11 +232,11 @@
 
 // chooseUpstream returns the upstream for the next attempt. A call with a caller's key
 // only goes to the home that the key names.
-func (n *Node) chooseUpstream(s *senderCall) (gypsumrail.Instance, gypsumrail.Reason) {
+func (n *Node) chooseUpstream(s *senderCall, judgment *gypsumrail.Judgment) (gypsumrail.Instance, gypsumrail.Reason) {
 	if s.keyText != "" && !s.ownKey {
 		return n.home(s.key)
 	}
-	switch judgment := n.parts.Quarantine.Judge(n.now, s.fingerprint); judgment.Standing {
+	switch judgment.Standing {
 	case gypsumrail.Quarantined:
 		return gypsumrail.Instance{}, gypsumrail.ReasonQuarantined
 	case gypsumrail.Suspected:
--- a/internal/node/blame/gossip.go
+++ b/internal/node/blame/gossip.go
@@ -18,7 +18,7 @@
 	}
 	for _, c := range evidence.Crashes {
 		for _, fingerprint := range c.Requests {
-			t.addCrash(now, fingerprint, crash{c.Address, now - c.Age})
+			t.addCrash(now, fingerprint, crash{c.Address, now - c.Age, c.OnTrial})
 		}
 	}
 	// Clocks run apart, so a peer may still hold what has expired here. Only all crashes
@@ -58,7 +58,7 @@
 	for _, fingerprint := range fingerprints {
 		e := t.entries[fingerprint]
 		for _, c := range e.crashes {
-			evidence.Crashes = addRequest(evidence.Crashes, c.address, max(0, now-c.at), fingerprint)
+			evidence.Crashes = addRequest(evidence.Crashes, gypsumrail.Crash{Address: c.address, Age: max(0, now-c.at), OnTrial: c.onTrial}, fingerprint)
 		}
 		if e.completed {
 			evidence.Completions = addCompleted(evidence.Completions, max(0, now-e.completedAt), fingerprint)
@@ -67,15 +67,17 @@
 	return evidence
 }
 
-// addRequest adds a request to the crash of the address and about that age, or to a new one.
-func addRequest(crashes []gypsumrail.Crash, address string, age gypsumrail.Millis, fingerprint uint64) []gypsumrail.Crash {
+// addRequest adds a request to the same crash at about the same age, or to a new one.
+func addRequest(crashes []gypsumrail.Crash, added gypsumrail.Crash, fingerprint uint64) []gypsumrail.Crash {
 	for i := range crashes {
-		if c := &crashes[i]; c.Address == address && max(c.Age-age, age-c.Age) < sameCrash/2 {
+		c := &crashes[i]
+		if c.Address == added.Address && c.OnTrial == added.OnTrial && max(c.Age-added.Age, added.Age-c.Age) < sameCrash/2 {
 			c.Requests = append(c.Requests, fingerprint)
 			return crashes
 		}
 	}
-	return append(crashes, gypsumrail.Crash{Address: address, Age: age, Requests: []uint64{fingerprint}})
+	added.Requests = []uint64{fingerprint}
+	return append(crashes, added)
 }
 
 // addCompleted adds a request to the completion of that age, or to a new one.
--- a/internal/node/blame/table.go
+++ b/internal/node/blame/table.go
@@ -3,11 +3,14 @@
 // A target that crashes ends all its runs at once, and nothing tells which of them was
 // the cause. The cause is still the only request that is there each time: the others are
 // different requests at the next crash, or complete at another target, which clears
-// them. So a request becomes suspected by its first crash and is quarantined by crashes
-// of two targets, or by a third crash of the same one, without a completion in between.
+// them. So a request becomes suspected by its first crash, and its later runs are trials.
+// It is quarantined by crashes of two targets, one of them on trial, or by a third crash,
+// without a completion in between. Two crashes without a trial are not enough: targets
+// may end together, for a reason of their own, while they run equal requests.
 //
 // A quarantine is not for good, because targets get repaired. After it, the request
-// is suspected for a while: one more crash quarantines it again, for twice as long.
+// is suspected for a while: one more crash quarantines it again, for twice as long, and
+// after crashesMax crashes for quarantineMax.
 //
 // All nodes judge alike because they judge the same evidence: crashes are only ever
 // added, and a completion cancels the crashes before it. Evidence can therefore be
@@ -28,8 +31,8 @@
 	// targetsToQuarantine is the number of targets that must have crashed. With two, a
 	// single node with wrong reports cannot have a request of others refused.
 	targetsToQuarantine = 2
-	// crashesToQuarantine is the number of crashes of one target that count as much, for
-	// services with a single target.
+	// crashesToQuarantine is the number of crashes that count as much without a trial, or
+	// at a service with a single target.
 	crashesToQuarantine = 3
 	// sameCrash is the time within which reports of crashes of one target are about the
 	// same crash. It is below the restart time of a process that has to serve requests.
@@ -41,12 +44,13 @@
 	// suspicionTTL is the time for which a request is suspected after its first crash.
 	// Clients repeat a request within seconds.
 	suspicionTTL = gypsumrail.Minute
-	// quarantineMin is the first quarantine, and quarantineMax bounds its doubling.
+	// quarantineMin is the first quarantine. It doubles with each further crash, up to
+	// crashesMax.
 	quarantineMin = gypsumrail.Minute
-	quarantineMax = 64 * gypsumrail.Minute
 	// crashesMax bounds the crashes kept of one request. That many quarantine it for
-	// quarantineMax.
-	crashesMax = 8
+	// quarantineMax: it has then been tried three times after its third crash.
+	crashesMax    = 6
+	quarantineMax = 12 * 60 * gypsumrail.Minute
 	// entriesMax bounds the requests with evidence. A large target runs a few hundred
 	// requests when it crashes. All of them fit into one message, with about 20 KB.
 	entriesMax = 2048
@@ -56,6 +60,7 @@
 type crash struct {
 	address string
 	at      gypsumrail.Millis
+	onTrial bool
 }
 
 // entry is the evidence about one request.
@@ -81,8 +86,8 @@
 
 // RecordCrash records that the target beside the node with this address ended while it
 // ran a request.
-func (t *Table) RecordCrash(now gypsumrail.Millis, address string, fingerprint uint64) {
-	t.addCrash(now, fingerprint, crash{address, now})
+func (t *Table) RecordCrash(now gypsumrail.Millis, address string, fingerprint uint64, onTrial bool) {
+	t.addCrash(now, fingerprint, crash{address, now, onTrial})
 }
 
 func (t *Table) addCrash(now gypsumrail.Millis, fingerprint uint64, c crash) {
@@ -93,8 +98,13 @@
 	if e == nil || e.completed && c.at <= e.completedAt {
 		return
 	}
-	for _, known := range e.crashes {
+	for i := range e.crashes {
+		known := &e.crashes[i]
 		if known.address == c.address && max(known.at-c.at, c.at-known.at) < sameCrash {
+			if c.onTrial && !known.onTrial {
+				known.onTrial = true
+				t.news[fingerprint] = true
+			}
 			return
 		}
 	}
@@ -151,7 +161,7 @@
 	}
 	judgment.Standing, judgment.Left = standing, until-now
 	for _, c := range e.crashes {
-		judgment.Crashes = append(judgment.Crashes, gypsumrail.Crash{Address: c.address, Age: max(0, now-c.at)})
+		judgment.Crashes = append(judgment.Crashes, gypsumrail.Crash{Address: c.address, Age: max(0, now-c.at), OnTrial: c.onTrial})
 	}
 	return judgment
 }
@@ -180,14 +190,21 @@
 // term returns the duration of the quarantine, or 0 if the evidence is too weak for one.
 func (e *entry) term() gypsumrail.Millis {
 	n := len(e.crashes)
-	if n < targetsToQuarantine || n < crashesToQuarantine && e.isOneTarget() {
-		return 0
+	switch {
+	case n >= crashesMax:
+		return quarantineMax
+	case n >= crashesToQuarantine, n >= targetsToQuarantine && e.hasSeveralTargets() && e.hasTrial():
+		return quarantineMin << (n - targetsToQuarantine)
 	}
-	return min(quarantineMin<<(n-targetsToQuarantine), quarantineMax)
+	return 0
+}
+
+func (e *entry) hasSeveralTargets() bool {
+	return slices.ContainsFunc(e.crashes, func(c crash) bool { return c.address != e.crashes[0].address })
 }
 
-func (e *entry) isOneTarget() bool {
-	return !slices.ContainsFunc(e.crashes, func(c crash) bool { return c.address != e.crashes[0].address })
+func (e *entry) hasTrial() bool {
+	return slices.ContainsFunc(e.crashes, func(c crash) bool { return c.onTrial })
 }
 
 // evict makes room for an entry. It drops the suspected or cleared request whose last
@@ -267,7 +284,13 @@
 			continue
 		}
 		buffer := binary.BigEndian.AppendUint64(nil, fingerprint)
-		buffer = append(buffer, byte(len(e.crashes)))
+		onTrial := 0
+		for _, c := range e.crashes {
+			if c.onTrial {
+				onTrial++
+			}
+		}
+		buffer = append(buffer, byte(len(e.crashes)), byte(onTrial))
 		digest ^= xxhash.Sum64(buffer)
 	}
 	return digest
--- a/internal/node/peer/evidence.go
+++ b/internal/node/peer/evidence.go
@@ -31,7 +31,7 @@
 	}
 	for _, c := range e.Crashes {
 		if requests := take(c.Requests); len(requests) > 0 {
-			m.Crashes = append(m.Crashes, &CrashMessage{Address: c.Address, Age: clampAge(c.Age), Requests: requests})
+			m.Crashes = append(m.Crashes, &CrashMessage{Address: c.Address, Age: clampAge(c.Age), Requests: requests, OnTrial: c.OnTrial})
 		}
 	}
 }
@@ -48,7 +48,9 @@
 			return gypsumrail.Evidence{}, fmt.Errorf("%w: crash at %.64q", ErrMalformed, c.GetAddress())
 		}
 		total += len(c.GetRequests())
-		e.Crashes = append(e.Crashes, gypsumrail.Crash{Address: c.GetAddress(), Age: gypsumrail.Millis(c.GetAge()), Requests: c.GetRequests()})
+		e.Crashes = append(e.Crashes, gypsumrail.Crash{
+			Address: c.GetAddress(), Age: gypsumrail.Millis(c.GetAge()), Requests: c.GetRequests(), OnTrial: c.GetOnTrial(),
+		})
 	}
 	for _, c := range m.GetCompletions() {
 		if gypsumrail.Millis(c.GetAge()) > ageMax {
--- a/quarantine.go
+++ b/quarantine.go
@@ -21,6 +21,11 @@
 	Address  string   // peers port of the node beside the target
 	Age      Millis   // since the target ended; at least 0
 	Requests []uint64 `json:",omitempty"` // fingerprints of the requests that the target ran
+
+	// OnTrial means that the requests were suspected when their runs began. Other runs
+	// may have begun before anything was known, and several targets may crash together
+	// for a reason of their own.
+	OnTrial bool `json:",omitempty"`
 }
 
 // Completion is the end of runs whose target survived them.
@@ -49,8 +54,8 @@
 // and is always clear. It is not safe for concurrent use.
 type Quarantine interface {
 	// RecordCrash records that the target beside the node with this address ended while
-	// it ran a request.
-	RecordCrash(now Millis, address string, fingerprint uint64)
+	// it ran a request. See Crash.OnTrial.
+	RecordCrash(now Millis, address string, fingerprint uint64, onTrial bool)
 	// RecordCompletion records that a target ran a request to its end. It clears the
 	// request of all crashes until now.
 	RecordCompletion(now Millis, fingerprint uint64)
