Show what crashed targets in the status, and let operators release it

Operators could not see which requests are quarantined, on which evidence and for how long, except in log line 1901, which also named a command that did not exist.

Change: the status lists suspected and quarantined requests with their crashes and the rest of the term; counters of crashes and quarantines; lines 2401 and 2402 have the fingerprint, so a refused request leads to the verdict. 'gypsumrail release' clears a request at one node, which tells its peers as of a completion, and event 1903 records it.

Evidence: relay TestRelease (fails if the release is not recorded) sees the verdict at a node whose target did not run the request, releases it there, and all four other nodes run it again.

--- a/core/core.go
+++ b/core/core.go
@@ -166,6 +166,8 @@
 		n.ticketsAsked(event)
 	case gypsumrail.DrainAsked:
 		n.drain()
+	case gypsumrail.ReleaseAsked:
+		n.release(event.Fingerprint)
 	case gypsumrail.PlatformLost, gypsumrail.PlatformFound:
 		n.setPlatformReachable(event.Kind == gypsumrail.PlatformFound)
 	default:
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -151,6 +151,12 @@
 	n.suspicions.crashedAt = n.now
 }
 
+// release clears a request at the word of an operator. Peers learn of it as of a completion.
+func (n *Node) release(fingerprint uint64) {
+	n.parts.Quarantine.RecordCompletion(n.now, fingerprint)
+	n.notice(gypsumrail.NoticeRequestReleased, gypsumrail.FormatFingerprint(fingerprint), gypsumrail.ReasonNone)
+}
+
 // noteVerdict logs the quarantine of a request once.
 func (n *Node) noteVerdict(fingerprint uint64) {
 	if n.suspicions.verdicts[fingerprint] {
--- a/core/status.go
+++ b/core/status.go
@@ -23,8 +23,14 @@
 	Instances  int
 	Services   []ServiceStatus
 	Counts     Counts
+
+	Judgments []gypsumrail.Judgment `json:",omitempty"` // requests that crashed targets, at most judgmentsMax
 }
 
+// judgmentsMax bounds the requests in a status. Operators care for the quarantined ones,
+// which come first.
+const judgmentsMax = 64
+
 // ServiceStatus is a node's view of one service.
 type ServiceStatus struct {
 	Name      string
@@ -48,6 +54,7 @@
 		LedgerSize: n.parts.Ledger.Len(),
 		Instances:  n.parts.Directory.Len(),
 		Counts:     n.counts,
+		Judgments:  n.parts.Quarantine.Judgments(n.now, judgmentsMax),
 	}
 	for _, name := range n.serviceNames() {
 		status.Services = append(status.Services, ServiceStatus{
--- a/effect.go
+++ b/effect.go
@@ -89,4 +89,5 @@
 	// A request was running at so many crashes that no target may run it any more.
 	NoticeRequestQuarantined Notice = 1901
 	NoticeQuarantineEnded    Notice = 1902
+	NoticeRequestReleased    Notice = 1903
 )
--- a/event.go
+++ b/event.go
@@ -26,6 +26,7 @@
 	Resolved        EventKind = "Resolved"        // Call, Attempt, Result: the home's answer; Outcome Unknown if none came
 	TicketsAsked    EventKind = "TicketsAsked"    // Call (to answer), Arrival (Service, Class), Count
 	DrainAsked      EventKind = "DrainAsked"      // no fields
+	ReleaseAsked    EventKind = "ReleaseAsked"    // Fingerprint: an operator ends the quarantine or suspicion of a request
 	PlatformLost    EventKind = "PlatformLost"    // no fields; reads of the platform fail
 	PlatformFound   EventKind = "PlatformFound"   // no fields; a read succeeded after failures
 )
@@ -50,6 +51,7 @@
 	Key         string       `json:",omitempty"`
 	HomeAttempt HomeAttempt  `json:",omitempty"`
 	Count       int          `json:",omitempty"`
+	Fingerprint uint64       `json:",omitempty"`
 }
 
 // Origin names the sender and the port of a call.
--- a/internal/cmds/verbs/main.go
+++ b/internal/cmds/verbs/main.go
@@ -32,6 +32,7 @@
 		{"replay", "replay traces and check their stated outcomes", runReplay},
 		{"demo", "show what the layer does under overload, in one process", runDemo},
 		{"status", "show what a node holds in force and why", runStatus},
+		{"release", "end the quarantine of a request that crashed targets", runRelease},
 		{"record", "record the events of a node as a trace", runRecord},
 		{"slopes", "measure how costs grow with the size of the fleet", runSlopes},
 		{"version", "print the version", runVersion},
--- a/internal/cmds/verbs/verbs_test.go
+++ b/internal/cmds/verbs/verbs_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
 )
 
 var update = flag.Bool("update", false, "rewrite the expected output of the cases and the help blocks of the pages")
@@ -72,11 +74,15 @@
 }
 
 // fakeNode starts a server that answers like the admin port of a node, with the
-// files of testdata/admin, and returns its address.
+// files of testdata/admin and 204 to a release, and returns its address.
 func fakeNode(t *testing.T) string {
 	t.Helper()
 	files := map[string]string{"/status": "testdata/admin/status.json", "/events": "testdata/admin/events.jsonl"}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == admin.ReleasePath {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
 		http.ServeFile(w, r, files[r.URL.Path])
 	}))
 	t.Cleanup(server.Close)
--- a/internal/lab/trace/check.go
+++ b/internal/lab/trace/check.go
@@ -26,7 +26,7 @@
 	gypsumrail.AnswerDone, gypsumrail.TargetAnswered, gypsumrail.TargetFailed, gypsumrail.TargetDone,
 	gypsumrail.TargetReported, gypsumrail.Tick, gypsumrail.RecordsRead, gypsumrail.InstancesRead,
 	gypsumrail.Exchanged, gypsumrail.PeerFailed, gypsumrail.PeerCalled, gypsumrail.ResolveAsked,
-	gypsumrail.Resolved, gypsumrail.TicketsAsked, gypsumrail.DrainAsked,
+	gypsumrail.Resolved, gypsumrail.TicketsAsked, gypsumrail.DrainAsked, gypsumrail.ReleaseAsked,
 }
 
 var measures = []Measure{
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 	"unicode"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -44,7 +45,38 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
-	return s.writeServices(out)
+	if err := s.writeServices(out); err != nil {
+		return err
+	}
+	return s.writeJudgments(out)
+}
+
+// writeJudgments writes the requests that crashed targets, if there are any.
+func (s *Status) writeJudgments(out io.Writer) error {
+	if len(s.Node.Judgments) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nRequest\tStanding\tEnds in\tCrashes of the targets beside these nodes, and how long ago")
+	for _, j := range s.Node.Judgments {
+		var crashes []string
+		for _, c := range j.Crashes {
+			crashes = append(crashes, fmt.Sprintf("%s %v%s", printable(c.Address), c.Age.Duration().Round(time.Second), trialMark(c.OnTrial)))
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\n",
+			gypsumrail.FormatFingerprint(j.Fingerprint), j.Standing, j.Left.Duration().Round(time.Second), strings.Join(crashes, ", "))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return nil
+}
+
+func trialMark(onTrial bool) string {
+	if onTrial {
+		return " (on trial)"
+	}
+	return ""
 }
 
 // revision describes the revision of a value, with the era of the platform's store if that
--- a/internal/node/meter/reducer.go
+++ b/internal/node/meter/reducer.go
@@ -26,7 +26,7 @@
 func partOf(kind gypsumrail.EventKind) part {
 	switch kind {
 	case gypsumrail.Tick, gypsumrail.RecordsRead, gypsumrail.InstancesRead, gypsumrail.Exchanged,
-		gypsumrail.PeerFailed, gypsumrail.PeerCalled, gypsumrail.DrainAsked:
+		gypsumrail.PeerFailed, gypsumrail.PeerCalled, gypsumrail.DrainAsked, gypsumrail.ReleaseAsked:
 		return partControl
 	}
 	return partCalls
@@ -150,6 +150,7 @@
 		{"arrived", c.Arrived}, {"served", c.Served}, {"retries", c.Retries}, {"joined", c.Joined},
 		{"shed", c.Shed}, {"evicted", c.Evicted}, {"expired", c.Expired}, {"dropped_events", c.Dropped},
 		{"pauses", c.Pauses}, {"resolves", c.Resolves}, {"exchanges", c.Exchanges}, {"silent_connections", c.SilentConns},
+		{"target_crashes", c.Crashes}, {"quarantines", c.Quarantines},
 	} {
 		metrics.WriteCounterUint64(w, "gypsumrail_"+count.name+"_total", count.value)
 	}
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -263,7 +263,8 @@
 	detail := "Class=" + c.arrival.Class + " Outcome=" + string(e.Outcome) + countField(" Status", status) +
 		countField(" Attempts", len(c.attempts)) + countField(" Remaining", int(c.arrival.Remaining)) +
 		countField(" Waited", int(time.Since(c.began).Milliseconds())) + countField(" RetryAfter", int(e.RetryAfter)) +
-		countField(" Revision", int(r.revision())) + countField(" At", int(now))
+		countField(" Revision", int(r.revision())) + countField(" At", int(now)) +
+		" Fingerprint=" + gypsumrail.FormatFingerprint(c.arrival.Fingerprint)
 	notice := NoticeRequestRefused
 	if e.Outcome != gypsumrail.NotRun {
 		notice = NoticeRequestFailed
--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -9,7 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/lab/xfail"
+	"github.com/gypsumrail/gypsumrail/internal/node/admin"
 )
 
 // crasher is a service of targets that crash when they run a request whose path ends in
@@ -19,6 +23,7 @@
 	targets []*target
 
 	mu      sync.Mutex
+	mended  bool        // deadly requests are answered
 	runs    []time.Time // of deadly requests
 	crashes []time.Time
 }
@@ -26,12 +31,12 @@
 // answer returns the answers of one of the targets.
 func (c *crasher) answer(i int) func(net.Conn, *http.Request, string) {
 	return func(conn net.Conn, r *http.Request, body string) {
-		deadly := strings.HasSuffix(r.URL.Path, "deadly")
+		c.mu.Lock()
+		deadly := strings.HasSuffix(r.URL.Path, "deadly") && !c.mended
 		if deadly {
-			c.mu.Lock()
 			c.runs = append(c.runs, time.Now())
-			c.mu.Unlock()
 		}
+		c.mu.Unlock()
 		time.Sleep(40 * time.Millisecond)
 		if !deadly {
 			writeEcho(conn, r, body)
@@ -97,3 +102,49 @@
 		})
 	}
 }
+
+// Guards against a quarantine that no operator can see or end: the request must be in the
+// status of a node beside a target that never ran it, and run again at all nodes after
+// its release at that one.
+func TestRelease(t *testing.T) {
+	c := &crasher{down: 50 * time.Millisecond}
+	answers := make([]func(net.Conn, *http.Request, string), 4)
+	for i := range answers {
+		answers[i] = c.answer(i)
+	}
+	entry, targets, _ := deployment(t, answers...)
+	c.targets = targets
+	judgments := func() []gypsumrail.Judgment {
+		status, err := admin.NewClient(entry.ports.Admin).Status(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status.Node.Judgments
+	}
+	for i := 0; len(judgments()) == 0 || judgments()[0].Standing != gypsumrail.Quarantined; i++ {
+		if i == 100 {
+			t.Fatal("the request is not quarantined after 100 attempts")
+		}
+		sendRequest(t, entry, http.MethodGet, "/read/deadly", fmt.Sprintf("d%d", i), "")
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.mu.Lock()
+	c.mended = true
+	c.mu.Unlock()
+	if got, _ := sendRequest(t, entry, http.MethodGet, "/read/deadly", "refused", ""); got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" {
+		t.Errorf("a quarantined request was answered %d with Retry-After %q, want 503 with one", got.StatusCode, got.Header.Get("Retry-After"))
+	}
+	held, err := admin.NewClient(entry.ports.Admin).Release(t.Context(), judgments()[0].Fingerprint)
+	if err != nil || !held {
+		t.Fatalf("release: held %v, %v", held, err)
+	}
+	time.Sleep(1500 * time.Millisecond) // the nodes beside the targets learn of it
+	for i := range 8 {
+		if got, _ := sendRequest(t, entry, http.MethodGet, "/read/deadly", fmt.Sprintf("r%d", i), ""); got.StatusCode != http.StatusOK {
+			t.Errorf("a released request was answered %d", got.StatusCode)
+		}
+	}
+	if diff := cmp.Diff(0, len(judgments())); diff != "" {
+		t.Errorf("requests held after the release: %s", diff)
+	}
+}
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -141,6 +141,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", r.ready)
 	router.GET("/status", r.status)
+	router.POST(admin.ReleasePath, admin.ReleaseHandler(r.post))
 	router.GET("/events", func(c *gin.Context) { r.loop.Events().Serve(c, r.valuesInForce) })
 	if r.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(r.parts.Metrics))
--- a/internal/node/shell/admin.go
+++ b/internal/node/shell/admin.go
@@ -33,6 +33,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", s.readyz)
 	router.GET("/status", s.status)
+	router.POST(admin.ReleasePath, admin.ReleaseHandler(s.post))
 	router.GET("/events", func(c *gin.Context) { s.loop.Events().Serve(c, func() []gypsumrail.Event { return nil }) })
 	if s.parts.Metrics != nil {
 		router.GET("/metrics", gin.WrapH(s.parts.Metrics))
--- a/names.go
+++ b/names.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -100,3 +101,10 @@
 // FormatFingerprint formats the fingerprint of a request for logs and operators: 16
 // hexadecimal digits.
 func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// ParseFingerprint parses the format of FormatFingerprint. It returns false for another
+// text and for the fingerprint 0, which stands for none.
+func ParseFingerprint(text string) (uint64, bool) {
+	fingerprint, err := strconv.ParseUint(text, 16, 64)
+	return fingerprint, err == nil && fingerprint != 0 && text == FormatFingerprint(fingerprint)
+}
