Write the last answers of a drain before the node ends

What callers saw: in a planned stop, a large answer that was ready was cut while its caller read it, and sometimes a small one, with the connection closed and no answer.

Cause: the reducer regards a call as done when its reply is decided. A drain with no calls left ends at the next tick, and the relay then closed all connections, whether or not the replies had been written.

Change: the relay counts the replies that are not written yet. At the end of a drain it stops listening and waits for them, until 0.3 s after DrainMax at most, which lies in the reserve of the grace time.

--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -81,5 +81,5 @@
 }
 
 func newRelay(settings RelaySettings, self gypsumrail.Instance, parts relay.Parts, listeners *relay.Listeners) *relay.Relay {
-	return relay.New(relay.Settings{Self: self, Target: settings.Target, Headers: settings.Headers}, parts, listeners)
+	return relay.New(relay.Settings{Self: self, Target: settings.Target, Headers: settings.Headers, DrainMax: settings.DrainMax}, parts, listeners)
 }
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -60,6 +60,8 @@
 	Self    gypsumrail.Instance // Address is the peers port as other nodes reach it
 	Target  string              // IP address and port of this node's target
 	Headers Headers
+
+	DrainMax gypsumrail.Millis // see core.Settings
 }
 
 // Parts are the components that a relay uses. Status and Metrics may be nil.
@@ -96,6 +98,8 @@
 	instancesRead  atomic.Bool  // a valid instance list was received since the start
 	platformLost   atomic.Bool  // the last read of the platform failed
 	draining       atomic.Bool  // Drain was called
+	stopBy         atomic.Int64 // end of the time for the last answers of a drain, in Unix nanoseconds
+	unwritten      atomic.Int64 // replies that the reducer has decided on and that are not written yet
 	largeBodyBytes atomic.Int64 // large bodies of calls in flight and requests being read; at most largeBodyBytesMax
 	pullScheduled  atomic.Bool  // checkPeerRevisions has started its timer
 	conns          connSet
@@ -144,6 +148,8 @@
 	servers := r.serve()
 	select {
 	case <-r.stopped:
+		r.listeners.close()
+		r.awaitWrites()
 	case <-ctx.Done():
 	}
 	r.loop.Close()
@@ -169,7 +175,9 @@
 // finishes the calls in flight and closes each client's connection after its next
 // answer. Run returns when the reducer returns a Stop effect.
 func (r *Relay) Drain() {
-	r.draining.Store(true)
+	if r.draining.CompareAndSwap(false, true) {
+		r.stopBy.Store(time.Now().Add(r.settings.DrainMax.Duration() + stopWriteTime).UnixNano())
+	}
 	r.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
 }
 
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
@@ -30,6 +32,7 @@
 func (r *Relay) takeDeliveries() []delivery {
 	deliveries := r.deliveries
 	r.deliveries = nil
+	r.unwritten.Add(int64(len(deliveries)))
 	return deliveries
 }
 
@@ -40,16 +43,37 @@
 func writeReplies(out []delivery, own *conn) {
 	for i := range out {
 		if out[i].conn != own {
-			go out[i].conn.respond(out[i].reply)
+			go out[i].write()
 		}
 	}
 	for i := range out {
 		if out[i].conn == own {
-			own.respond(out[i].reply)
+			out[i].write()
 		}
 	}
 }
 
+func (d *delivery) write() {
+	defer d.conn.relay.unwritten.Add(-1)
+	d.conn.respond(d.reply)
+}
+
+const (
+	// stopWriteTime is the time after DrainMax in which the last answers are still written.
+	// It is part of the reserve of package verbs.
+	stopWriteTime = 300 * time.Millisecond
+	// stopPollInterval is short enough that the stop of a node does not seem delayed.
+	stopPollInterval = 2 * time.Millisecond
+)
+
+// awaitWrites waits until all replies are written, because the reducer regards a call as done
+// before that, but not longer than stopWriteTime after DrainMax.
+func (r *Relay) awaitWrites() {
+	for r.unwritten.Load() > 0 && time.Now().UnixNano() < r.stopBy.Load() {
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // step gives the reducer an event and then the follow-up events of its effects. The
 // caller holds the mutex.
 func (r *Relay) step(event *gypsumrail.Event) {
