Answer the calls that do not end within a drain

But a request from before the drain that waited for a slot and ran past the end was cut without an answer.

Change: 0.1 s before DrainMax the node answers what is left: 503, not run, if it waits, otherwise 504, may have run.

--- a/core/core.go
+++ b/core/core.go
@@ -87,6 +87,7 @@
 	awaitingUpstream []gypsumrail.CallID     // calls of the own target that wait for an upstream
 	draining         bool
 	drainStarted     gypsumrail.Millis // start of the drain
+	answersDrain     bool              // the drain is about to end; see finishDrain
 	stopped          bool              // the drain is complete
 	stated           statement         // of the own target
 	suspicions       suspicions
--- a/core/drain.go
+++ b/core/drain.go
@@ -16,6 +16,9 @@
 	// drainMax is the default of Settings.DrainMax, after which a drain ends although
 	// calls still run. It is the maximum of any deadline.
 	drainMax = 30 * gypsumrail.Second
+	// drainAnswerTime is the part of DrainMax that is left for answers to the calls that
+	// did not end in time.
+	drainAnswerTime = gypsumrail.Second / 10
 )
 
 // drain starts the drain: it marks the instance as leaving and informs recent callers
@@ -38,12 +41,17 @@
 }
 
 // finishDrain stops a draining node that has no calls left, after DrainMin at the
-// earliest, and any draining node after DrainMax.
+// earliest, and any draining node after DrainMax. Shortly before that it answers the calls
+// that are left, so that their callers need not take a closed connection for an answer.
 func (n *Node) finishDrain() {
 	if !n.draining || n.stopped {
 		return
 	}
 	elapsed := n.now - n.drainStarted
+	if elapsed >= n.settings.DrainMax-drainAnswerTime && !n.answersDrain {
+		n.answersDrain = true
+		n.refuseRemaining()
+	}
 	idle := len(n.senderCalls) == 0 && len(n.receiverCalls) == 0
 	if elapsed >= n.settings.DrainMax || idle && elapsed >= n.settings.DrainMin {
 		n.stopped = true
@@ -52,6 +60,29 @@
 	}
 }
 
+// refuseRemaining refuses the calls that do not end within the drain: as not run those that
+// wait, otherwise as calls that may have run.
+func (n *Node) refuseRemaining() {
+	for _, call := range sortedCalls(n.senderCalls) {
+		s := n.senderCalls[call]
+		if s == nil || s.answering {
+			continue
+		}
+		n.noteOpenAttempts(s)
+		reason := gypsumrail.ReasonDraining
+		if s.mayHaveRun {
+			reason = gypsumrail.ReasonDeadline
+		}
+		n.refuseSenderCall(s, reason)
+	}
+	for _, call := range sortedCalls(n.receiverCalls) {
+		if v := n.receiverCalls[call]; v != nil && !v.local && !v.running {
+			n.parts.Queue.Remove(v.call)
+			n.refuseReceiverCall(v, gypsumrail.NotRun, gypsumrail.ReasonDraining)
+		}
+	}
+}
+
 // sortedCalls returns the keys of a map in ascending order, so that the effects of
 // a step do not depend on the iteration order of the map.
 func sortedCalls[T any](calls map[gypsumrail.CallID]T) []gypsumrail.CallID {
@@ -59,7 +90,7 @@
 }
 
 // finishesInDrain reports whether a draining node may serve a call with this
-// deadline, because the call ends within DrainMax.
+// deadline, because the call ends before refuseRemaining.
 func (n *Node) finishesInDrain(deadline gypsumrail.Millis) bool {
-	return n.settings.ServeDraining && deadline <= n.drainStarted+n.settings.DrainMax
+	return n.settings.ServeDraining && deadline <= n.drainStarted+n.settings.DrainMax-drainAnswerTime
 }
--- a/core/ticks.go
+++ b/core/ticks.go
@@ -77,9 +77,15 @@
 	}
 }
 
-// expireSenderCall refuses a call of the sender role whose deadline has passed. An
-// attempt that was sent and got no answer may have run.
+// expireSenderCall refuses a call of the sender role whose deadline has passed.
 func (n *Node) expireSenderCall(s *senderCall) {
+	n.noteOpenAttempts(s)
+	n.refuseSenderCall(s, gypsumrail.ReasonDeadline)
+}
+
+// noteOpenAttempts records that a call may have run if an attempt was sent and got no
+// answer.
+func (n *Node) noteOpenAttempts(s *senderCall) {
 	for i := range s.attempts {
 		t := &s.attempts[i]
 		if !t.open {
@@ -93,7 +99,6 @@
 	if s.resolving && len(s.attempts) > 0 {
 		s.mayHaveRun = true
 	}
-	n.refuseSenderCall(s, gypsumrail.ReasonDeadline)
 }
 
 // expireReceiverCall ends a call of the receiver role whose deadline has passed: it
