Ask several peers for evidence as soon as a node has started

What was seen: on the large site half of 195 nodes were killed after the verdict. The request ended four further targets within 0.2 s of their restart.

Cause: a started node asked one peer at its first tick, and took any answer for all that is known, also that of a node that had started with it. A call runs if neither its sender nor the node beside the target knows.

Change: it asks four peers as soon as it knows any, and goes on until four have answered.

--- a/core/config.go
+++ b/core/config.go
@@ -29,6 +29,7 @@
 		n.listedStates = statesOf(event.Instances)
 		n.parts.Directory.MergeList(n.now, event.Instances)
 		n.setUpstreams()
+		n.askForEvidence()
 	}
 }
 
--- a/core/evidence_test.go
+++ b/core/evidence_test.go
@@ -190,3 +190,27 @@
 		}
 	}
 }
+
+// Guards against a request that runs again because many nodes start at once: a node that
+// has just started must not take the answer of another such node for all that is known.
+func TestStartedNodesAsk(t *testing.T) {
+	for seed := range uint64(3) {
+		const n = 195
+		m := newMesh(n, seed)
+		m.run(gypsumrail.Second)
+		m.crash(n / 2)
+		m.run(evidenceDeadline)
+		for i := range n / 2 {
+			m.start(2 * i)
+		}
+		m.run(gypsumrail.Second / 10)
+		// A request runs only if both of its nodes do not know.
+		if got := m.ignorant(); got > n/10 {
+			t.Errorf("seed %d: %d of %d nodes do not know 100 ms after half of them started, want at most a tenth", seed, got, n)
+		}
+		m.run(gypsumrail.Second)
+		if got := m.ignorant(); got > n/100 {
+			t.Errorf("seed %d: %d nodes do not know a second later, want at most %d", seed, got, n/100)
+		}
+	}
+}
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -62,8 +62,8 @@
 		}
 	}
 	n.mergeEvidence(message.Evidence)
-	if event.Call == 0 {
-		n.suspicions.peersAsked = true
+	if message.Answer && event.Call == 0 {
+		n.suspicions.answers = min(n.suspicions.answers+1, startAnswers)
 	}
 	differingEntries := n.differingEntries(message.Digest.Buckets)
 	evidenceDiffers := message.Digest.Evidence != n.parts.Quarantine.Digest()
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -19,6 +19,9 @@
 	// newsPeers is the number of random peers to which a node passes on news. Each passes
 	// them on once more, so that they reach nearly all of 640 nodes in about 5 steps.
 	newsPeers = 4
+	// startAnswers is the number of answers of peers after which a started node has heard
+	// enough: if half of a fleet starts at once, one of that many peers nearly always knows.
+	startAnswers = 4
 	// crashPause is the time within which runs that the end of the own target broke
 	// belong to the same crash.
 	crashPause = gypsumrail.Second
@@ -27,12 +30,12 @@
 // suspicions is what a node does about requests that may crash targets. The evidence
 // itself is in parts.Quarantine.
 type suspicions struct {
-	running    gypsumrail.CallID   // suspected request that runs on the own target; 0 if none
-	waiting    []gypsumrail.CallID // suspected requests that wait for it to end
-	crashed    bool                // the own target has crashed before
-	crashedAt  gypsumrail.Millis   // last crash of the own target
-	verdicts   map[uint64]bool     // requests whose quarantine was logged and has not ended
-	peersAsked bool                // a peer has told this node what it knows
+	running   gypsumrail.CallID   // suspected request that runs on the own target; 0 if none
+	waiting   []gypsumrail.CallID // suspected requests that wait for it to end
+	crashed   bool                // the own target has crashed before
+	crashedAt gypsumrail.Millis   // last crash of the own target
+	verdicts  map[uint64]bool     // requests whose quarantine was logged and has not ended
+	answers   int                 // answers of peers to exchanges since the start, up to startAnswers
 }
 
 // isQuarantined reports whether no target may run requests with this fingerprint.
@@ -204,27 +207,38 @@
 // passOnNews sends new evidence to some peers.
 func (n *Node) passOnNews() {
 	news := n.parts.Quarantine.News(n.now)
-	if len(news.Crashes) == 0 && len(news.Completions) == 0 {
-		return
+	if len(news.Crashes) > 0 || len(news.Completions) > 0 {
+		n.exchangeWith(newsPeers, news)
 	}
+}
+
+// exchangeWith starts exchanges with random peers, at most count.
+func (n *Node) exchangeWith(count int, evidence gypsumrail.Evidence) {
 	var sent []string
-	for range newsPeers {
+	for range count {
 		peer, ok := n.parts.Directory.Partner(n.random.Uint64())
 		if !ok {
 			return
 		}
 		if !slices.Contains(sent, peer.Address) {
 			sent = append(sent, peer.Address)
-			n.sendExchange(peer, 0, false, nil, news)
+			n.sendExchange(peer, 0, false, nil, evidence)
 		}
 	}
 }
 
-// exchangesEvidence reports whether an exchange with a peer is due because of evidence: a
-// node that has just started asks what its peers know.
+// askForEvidence asks some peers what they know if this node has just started and does not
+// gossip regularly. It is called as soon as the node knows peers: calls arrive then too.
+func (n *Node) askForEvidence() {
+	if n.suspicions.answers == 0 && n.settings.GossipEvery < 0 && n.settings.GossipAway > 0 {
+		n.exchangeWith(startAnswers, gypsumrail.Evidence{})
+	}
+}
+
+// exchangesEvidence reports whether an exchange with a peer is due because of evidence.
 func (n *Node) exchangesEvidence() bool {
 	since := n.now - n.clocks.gossip
-	return !n.suspicions.peersAsked && n.settings.GossipAway > 0 && since >= n.settings.GossipAway ||
+	return n.suspicions.answers < startAnswers && n.settings.GossipAway > 0 && since >= n.settings.GossipAway ||
 		since >= evidenceEvery && n.parts.Quarantine.Digest() != 0
 }
 
