Suspect requests whose runs were canceled when the target ended

What callers saw: a deadly request whose callers leave before the target ends was never stopped.

Cause: the node closes the connection of a canceled run, so this run does not break when the target ends, and only runs that break were named. The innocents that ran beside it were suspected and cleared; the cause was never there.

Change: a node remembers the runs that it canceled within the last half second, 256 at most, and names them too when its target ends. If no other run was there to break, the connection that the target refuses next tells that it ended.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -25,13 +25,26 @@
 	// crashPause is the time within which runs that the end of the own target broke
 	// belong to the same crash.
 	crashPause = gypsumrail.Second
+	// cancelTime is the time in which a target stops a canceled run. If it ends within
+	// that time, the run may be the cause.
+	cancelTime = gypsumrail.Second / 2
+	// canceledMax bounds the canceled runs that are remembered for cancelTime.
+	canceledMax = 256
 )
 
+// canceledRun is a canceled run that the own target may still be working on.
+type canceledRun struct {
+	fingerprint uint64
+	onTrial     bool // see Crash.OnTrial
+	at          gypsumrail.Millis
+}
+
 // suspicions is what a node does about requests that may crash targets. The evidence
 // itself is in parts.Quarantine.
 type suspicions struct {
 	running   gypsumrail.CallID   // suspected request that runs on the own target; 0 if none
 	waiting   []gypsumrail.CallID // suspected requests that wait for it to end
+	canceled  []canceledRun       // on the own target, oldest first, at most canceledMax
 	crashed   bool                // the own target has crashed before
 	crashedAt gypsumrail.Millis   // last crash of the own target
 	verdicts  map[uint64]bool     // requests whose quarantine was logged and has not ended
@@ -139,10 +152,31 @@
 	n.noteVerdict(fingerprint)
 }
 
+// noteCanceled remembers that a run on the own target was canceled.
+func (n *Node) noteCanceled(v *receiverCall) {
+	s := &n.suspicions
+	if len(s.canceled) >= canceledMax {
+		s.canceled = slices.Delete(s.canceled, 0, len(s.canceled)-canceledMax+1)
+	}
+	s.canceled = append(s.canceled, canceledRun{v.fingerprint, v.onTrial, n.now})
+}
+
+// recordCanceled records that the own target ended shortly after runs on it were canceled.
+// Their connections are closed, so that nothing else tells what became of them.
+func (n *Node) recordCanceled() {
+	for _, run := range n.suspicions.canceled {
+		if n.now-run.at <= cancelTime {
+			n.recordCrash(n.self.Address, run.fingerprint, run.onTrial)
+		}
+	}
+	n.suspicions.canceled = n.suspicions.canceled[:0]
+}
+
 // recordOwnCrash records that the own target ended while it ran a call. It logs one line
 // for all runs that the same crash broke.
 func (n *Node) recordOwnCrash(v *receiverCall) {
 	n.recordCrash(n.self.Address, v.fingerprint, v.onTrial)
+	n.recordCanceled()
 	if s := &n.suspicions; !s.crashed || n.now-s.crashedAt > crashPause {
 		s.crashed = true
 		n.counts.Crashes++
--- a/core/serve.go
+++ b/core/serve.go
@@ -300,6 +300,7 @@
 		return
 	}
 	v.canceled = true
+	n.noteCanceled(v)
 	n.emit(gypsumrail.Effect{Kind: gypsumrail.CancelTarget, Call: v.call, Reason: reason})
 	n.cancelChildren(v)
 }
--- a/core/target.go
+++ b/core/target.go
@@ -78,8 +78,11 @@
 	n.recordStated(v, event.Result.Stated)
 	outcome, reason := event.Result.Outcome, event.Result.Reason
 	n.endRun(v, !v.canceled)
-	if reason == gypsumrail.ReasonCrashed {
+	switch {
+	case reason == gypsumrail.ReasonCrashed:
 		n.recordOwnCrash(v)
+	case reason == gypsumrail.ReasonTargetFailed && outcome == gypsumrail.NotRun:
+		n.recordCanceled() // no other run was there to break
 	}
 	if v.keyed {
 		n.parts.Ledger.Finish(n.now, v.key, outcome)
--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -51,11 +52,16 @@
 
 // Guards against one request that crashes each target that runs it, time after time, and
 // takes the whole service down (BUDGET): its attempts have new identities, arrive at
-// any node, and innocent requests run beside them.
+// any node, and innocent requests run beside them. Its callers may leave before the target
+// ends.
 func TestRequestThatCrashesTargets(t *testing.T) {
-	for _, test := range []struct{ name, method, path string }{
-		{"repeatable", http.MethodGet, "/read/"},
-		{"not repeatable", http.MethodPost, "/once/"},
+	for _, test := range []struct {
+		name, method, path string
+		patience           time.Duration // of the callers of the deadly request; 0: they wait
+	}{
+		{"repeatable", http.MethodGet, "/read/", 0},
+		{"not repeatable", http.MethodPost, "/once/", 0},
+		{"its callers leave", http.MethodGet, "/read/", 20 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			xfail.SkipListed(t, "../../../KNOWN-RED.txt", "relay", *redFlag)
@@ -71,7 +77,7 @@
 			var mu sync.Mutex
 			innocents, served := 0, 0
 			for i := 0; time.Since(began) < 6*time.Second; i++ {
-				work.Go(func() { sendRequest(t, entry, test.method, test.path+"deadly", fmt.Sprintf("d%d", i), "") })
+				work.Go(func() { sendDeadly(t, entry, test.method, test.path+"deadly", i, test.patience) })
 				for j := range 2 {
 					late := time.Since(began) > 2*time.Second
 					work.Go(func() {
@@ -103,6 +109,22 @@
 	}
 }
 
+// sendDeadly sends the deadly request once. With a patience, its caller leaves after that.
+func sendDeadly(t *testing.T, entry *sidecar, method, path string, i int, patience time.Duration) {
+	t.Helper()
+	id := fmt.Sprintf("d%d", i)
+	if patience == 0 {
+		sendRequest(t, entry, method, path, id, "")
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	answer, err := http.DefaultClient.Do(newRequest(t, entry, method, path, id, "").WithContext(ctx))
+	if err == nil {
+		_ = answer.Body.Close()
+	}
+}
+
 // Guards against a quarantine that no operator can see or end: the request must be in the
 // status of a node beside a target that never ran it, and run again at all nodes after
 // its release at that one.
