Take no sample for the limit from runs that a crash broke

Cause: when a target ends, each of its runs was a failed sample for the limiter, although they say nothing about how many runs the target bears. limit.Adaptive (package shell, embedders) takes the share of failures for a limit that is too high; where others of the same window succeeded it stays lower until probes raise it. limit.Headroom, which the nodes on the users' platform have, ignores failed runs, so the suspicion in the postmortem does not hold there.

core TestSampleLeavesOutCrashes: one sample before, none after; a run that broke by itself still gives one.

--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/node/setup"
@@ -72,3 +74,28 @@
 		})
 	}
 }
+
+// Guards against a limit that falls because one request ended the target: the runs that end
+// with it say nothing about how many the target can run. A run that failed by itself does.
+func TestSampleLeavesOutCrashes(t *testing.T) {
+	tests := []struct {
+		reason  gypsumrail.Reason
+		samples int
+	}{
+		{gypsumrail.ReasonBroken, 1},
+		{gypsumrail.ReasonCrashed, 0},
+	}
+	for _, test := range tests {
+		t.Run(string(test.reason), func(t *testing.T) {
+			n, s := newRecordingNode()
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 100, Call: 1, Arrival: &gypsumrail.Arrival{
+				Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000,
+			}})
+			result := &gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: test.reason}
+			n.Step(&gypsumrail.Event{Kind: gypsumrail.TargetFailed, At: 150, Call: 1, Result: result})
+			if diff := cmp.Diff(test.samples, len(s.samples)); diff != "" {
+				t.Errorf("samples: %s", diff)
+			}
+		})
+	}
+}
--- a/core/target.go
+++ b/core/target.go
@@ -55,9 +55,12 @@
 		n.counts.Dropped++
 		return
 	}
-	broken := event.Result != nil && event.Result.Outcome != gypsumrail.Ran
-	n.endRun(v, broken && !v.canceled)
-	if v.succeeded && !broken {
+	end := runAnswered
+	if event.Result != nil && event.Result.Outcome != gypsumrail.Ran {
+		end = runFailed
+	}
+	n.endRun(v, end)
+	if v.succeeded && end == runAnswered {
 		n.parts.Quarantine.RecordCompletion(n.now, v.fingerprint)
 	}
 	if v.keyed {
@@ -77,9 +80,13 @@
 	}
 	n.recordStated(v, event.Result.Stated)
 	outcome, reason := event.Result.Outcome, event.Result.Reason
-	n.endRun(v, !v.canceled)
+	end := runFailed
+	if reason == gypsumrail.ReasonCrashed {
+		end = runCrashed
+	}
+	n.endRun(v, end)
 	switch {
-	case reason == gypsumrail.ReasonCrashed:
+	case end == runCrashed:
 		n.recordOwnCrash(v)
 	case reason == gypsumrail.ReasonTargetFailed && outcome == gypsumrail.NotRun:
 		n.recordCanceled() // no other run was there to break
@@ -97,10 +104,20 @@
 	n.startQueued()
 }
 
+// runEnd is how a run on the own target ended.
+type runEnd int
+
+const (
+	runAnswered runEnd = iota
+	runFailed          // without a whole answer
+	runCrashed         // the target ended, with all its runs
+)
+
 // endRun frees the slot of a call and passes the run to the limiter as a
-// sample, unless the run was canceled. The sample's Self leaves out the time
-// spent waiting for outgoing calls.
-func (n *Node) endRun(v *receiverCall, failed bool) {
+// sample, unless the run was canceled or the target ended: it then says nothing about how
+// many runs the target bears. The sample's Self leaves out the time spent waiting for
+// outgoing calls.
+func (n *Node) endRun(v *receiverCall, end runEnd) {
 	n.running--
 	v.running = false
 	if n.suspicions.running == v.call {
@@ -114,13 +131,13 @@
 		wait += n.now - v.childSince
 	}
 	latency := n.now - v.started
-	if !failed && !v.canceled && !v.overloaded {
+	if end == runAnswered && !v.canceled && !v.overloaded {
 		n.recordRunTime(v.class.Name, latency)
 	}
-	if v.canceled {
+	if v.canceled || end == runCrashed {
 		return
 	}
 	n.parts.Limiter.Completed(n.now, gypsumrail.Sample{
-		Latency: latency, Self: max(0, latency-wait), InFlight: v.inFlight, Failed: failed, Refused: v.overloaded,
+		Latency: latency, Self: max(0, latency-wait), InFlight: v.inFlight, Failed: end == runFailed, Refused: v.overloaded,
 	})
 }
