Mask the fingerprints in recorded evidence and releases

Cause: recordings mask the fingerprint of a call, but not those in the evidence of peers and in releases by operators, which came with the quarantine. They left the node in clear, and a replay of the recording did not know the requests again that peers held for deadly: calls that were refused ran in the replay.

redact TestEvidence failed for both events before. The digest of evidence stays as it is: it is a hash of all entries, and a replay answers it with evidence where the node did not need to.

--- a/internal/node/redact/mask.go
+++ b/internal/node/redact/mask.go
@@ -36,19 +36,45 @@
 
 // Event replaces the secrets in an event: request identities, fingerprints and
 // idempotency keys. Other fields hold no secrets, since events carry neither bodies
-// nor the tokens that link a target's calls. It modifies the event and its Arrival
-// in place.
+// nor the tokens that link a target's calls. It modifies the event, its
+// Arrival and its Exchange in place.
 func (m *Mask) Event(event *gypsumrail.Event) {
 	event.Key = m.key(event.Key)
 	if a := event.Arrival; a != nil {
 		a.Request = m.text("request", a.Request)
 		a.Key = m.key(a.Key)
-		if a.Fingerprint != 0 {
-			var plain [8]byte
-			binary.BigEndian.PutUint64(plain[:], a.Fingerprint)
-			a.Fingerprint = binary.BigEndian.Uint64(m.sum("fingerprint", plain[:], 0))
-		}
+		a.Fingerprint = m.fingerprint(a.Fingerprint)
 	}
+	event.Fingerprint = m.fingerprint(event.Fingerprint)
+	if event.Exchange != nil {
+		m.evidence(&event.Exchange.Evidence)
+	}
+}
+
+// evidence replaces the fingerprints in the evidence of a peer.
+func (m *Mask) evidence(e *gypsumrail.Evidence) {
+	for _, c := range e.Crashes {
+		m.fingerprints(c.Requests)
+	}
+	for _, c := range e.Completions {
+		m.fingerprints(c.Requests)
+	}
+}
+
+func (m *Mask) fingerprints(requests []uint64) {
+	for i := range requests {
+		requests[i] = m.fingerprint(requests[i])
+	}
+}
+
+// fingerprint returns the pseudonym of a fingerprint. 0, which stands for none, stays.
+func (m *Mask) fingerprint(plain uint64) uint64 {
+	if plain == 0 {
+		return 0
+	}
+	var text [8]byte
+	binary.BigEndian.PutUint64(text[:], plain)
+	return binary.BigEndian.Uint64(m.sum("fingerprint", text[:], 0))
 }
 
 // key replaces the nonce of an idempotency key. Home, incarnation and epoch stay,
--- a/internal/node/redact/mask_test.go
+++ b/internal/node/redact/mask_test.go
@@ -64,6 +64,41 @@
 	}
 }
 
+// Guards against a recording that shows the fingerprints of requests that crashed targets, and
+// against one whose replay does not know these requests again when they arrive.
+func TestEvidence(t *testing.T) {
+	const guilty, innocent = 1234567, 7654321
+	m := New([]byte("salt"))
+	call := gypsumrail.Event{Kind: gypsumrail.CallArrived, Call: 1, Arrival: &gypsumrail.Arrival{Fingerprint: guilty}}
+	exchange := gypsumrail.Event{Kind: gypsumrail.Exchanged, Exchange: &gypsumrail.Exchange{Evidence: gypsumrail.Evidence{
+		Crashes:     []gypsumrail.Crash{{Address: "10.0.0.1:1", Requests: []uint64{innocent, guilty}}},
+		Completions: []gypsumrail.Completion{{Requests: []uint64{innocent}}},
+	}}}
+	release := gypsumrail.Event{Kind: gypsumrail.ReleaseAsked, Fingerprint: guilty}
+	for _, event := range []*gypsumrail.Event{&call, &exchange, &release} {
+		m.Event(event)
+		text, err := json.Marshal(event)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(text), "1234567") || strings.Contains(string(text), "7654321") {
+			t.Errorf("a fingerprint is in the recording: %s", text)
+		}
+	}
+	evidence := exchange.Exchange.Evidence
+	masked := call.Arrival.Fingerprint
+	want := gypsumrail.Evidence{
+		Crashes:     []gypsumrail.Crash{{Address: "10.0.0.1:1", Requests: []uint64{evidence.Completions[0].Requests[0], masked}}},
+		Completions: []gypsumrail.Completion{{Requests: []uint64{m.fingerprint(innocent)}}},
+	}
+	if diff := cmp.Diff(want, evidence); diff != "" {
+		t.Errorf("evidence:\n%s", diff)
+	}
+	if release.Fingerprint != masked {
+		t.Errorf("a released request became %d, the same request in a call %d", release.Fingerprint, masked)
+	}
+}
+
 // Guards against pseudonyms that reveal the exact length of a secret or that collide.
 // Also guards against a salt that has no effect.
 func TestText(t *testing.T) {
