Count a suspected call as running only once it runs

Cause: a suspected call took the one place for trials at its target before its key was checked. If the ledger then refused the key, no run ended to free the place, so that all suspected calls at this target waited until their deadlines, for as long as the node ran.

core TestRefusedTrial: the next suspected call got no effect before, runs now.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -56,17 +56,16 @@
 	return n.parts.Quarantine.Judge(n.now, fingerprint).Standing == gypsumrail.Quarantined
 }
 
-// mayStart reports whether a call may start on the own target. It refuses a quarantined
-// call, and holds a suspected one while another runs: if the target crashes, only one
-// suspected request was there.
-func (n *Node) mayStart(v *receiverCall) bool {
-	switch n.parts.Quarantine.Judge(n.now, v.fingerprint).Standing {
+// mayStart reports whether a call with this standing may start on the own target. It
+// refuses a quarantined call, and holds a suspected one while another runs: if the target
+// crashes, only one suspected request was there.
+func (n *Node) mayStart(v *receiverCall, standing gypsumrail.Standing) bool {
+	switch standing {
 	case gypsumrail.Quarantined:
 		n.refuseReceiverCall(v, gypsumrail.NotRun, gypsumrail.ReasonQuarantined)
 		return false
 	case gypsumrail.Suspected:
 		if n.suspicions.running == 0 {
-			n.suspicions.running, v.onTrial = v.call, true
 			return true
 		}
 		wait := gypsumrail.Millis(float64(len(n.suspicions.waiting)+1) * n.meanRunTime(v.class.Name))
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -6,6 +6,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/core"
+	"github.com/gypsumrail/gypsumrail/internal/node/setup"
+	"github.com/gypsumrail/gypsumrail/ledger"
 )
 
 // Guards against a request that crashes targets after its caller has left: its run does not
@@ -49,3 +52,38 @@
 		})
 	}
 }
+
+// refusingLedger lets no keyed call start.
+type refusingLedger struct{ gypsumrail.Ledger }
+
+func (refusingLedger) Start(gypsumrail.Millis, gypsumrail.Key, gypsumrail.HomeAttempt) gypsumrail.Verdict {
+	return gypsumrail.VerdictRefused
+}
+
+// Guards against a suspected call that holds up all others for good because its key is
+// refused as it starts: it never runs, so no end of its run makes room for the next.
+func TestRefusedTrial(t *testing.T) {
+	self := gypsumrail.Instance{Name: "front-0", Service: "front", Zone: "z0", Address: "127.0.0.1:1", Incarnation: 1 << 20, State: gypsumrail.Live}
+	parts := setup.New(self, setup.Settings{})
+	parts.Ledger = refusingLedger{parts.Ledger}
+	n := core.New(core.Settings{}, parts)
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: labRecords(8), Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: []gypsumrail.Instance{self}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
+	peer := gypsumrail.Instance{Name: "front-1", Service: "front", Zone: "z0", Address: "127.0.0.1:2", Incarnation: 1 << 20, State: gypsumrail.Live}
+	n.Step(&gypsumrail.Event{Kind: gypsumrail.Exchanged, At: 100, Peer: peer, Exchange: &gypsumrail.Exchange{
+		From: peer, Answer: true, Evidence: gypsumrail.Evidence{Crashes: []gypsumrail.Crash{{Address: peer.Address, Requests: []uint64{7, 8}}}},
+	}})
+	arrive := func(call gypsumrail.CallID, at gypsumrail.Millis, class, key string, fingerprint uint64) gypsumrail.EffectKind {
+		return effectOf(n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: at, Call: call, Arrival: &gypsumrail.Arrival{
+			Origin: gypsumrail.FromPeer, Service: "front", Class: class, Request: "r", Attempt: 1, Remaining: 2000, Importance: 9,
+			Fingerprint: fingerprint, Key: key, HomeAttempt: 257,
+		}}), gypsumrail.RunTarget, gypsumrail.Refuse).Kind
+	}
+	key := ledger.FormatKey(gypsumrail.Key{Home: self.Name, Incarnation: self.Incarnation, Nonce: "0123456789abcdef0123456789abcdef"})
+	if got := arrive(1, 110, "Order", key, 7); got != gypsumrail.Refuse {
+		t.Fatalf("the keyed call: %q, want it refused", got)
+	}
+	if got := arrive(2, 120, "Read", "", 8); got != gypsumrail.RunTarget {
+		t.Errorf("the next suspected call: %q, want it run", got)
+	}
+}
--- a/core/serve.go
+++ b/core/serve.go
@@ -168,7 +168,8 @@
 // start runs a call on the target. It checks the key again, because another
 // node may have had the attempt refused while the call was queued.
 func (n *Node) start(v *receiverCall) {
-	if !n.mayStart(v) {
+	standing := n.parts.Quarantine.Judge(n.now, v.fingerprint).Standing
+	if !n.mayStart(v, standing) {
 		return
 	}
 	if v.keyed {
@@ -182,6 +183,9 @@
 	if v.importance >= gypsumrail.ImportanceReserved {
 		n.reserve.running++
 	}
+	if standing == gypsumrail.Suspected {
+		n.suspicions.running, v.onTrial = v.call, true
+	}
 	n.counts.Served++
 	v.running = true
 	v.started = n.now
