Clear the requests that ran beside one that is known to crash targets

Cause: each crash counted against every request that was there, also when another one was known to be its cause: the failure is charged to whoever is at hand.

Change: a request whose crashes were all crashes of another one, which is known to crash targets and was at more of them, was a bystander and is clear. All nodes conclude it from the same evidence. A request with a crash of its own keeps all its crashes, so that of two guilty ones the second is not let go.

--- a/internal/node/blame/table.go
+++ b/internal/node/blame/table.go
@@ -8,6 +8,9 @@
 // without a completion in between. Two crashes without a trial are not enough: targets
 // may end together, for a reason of their own, while they run equal requests.
 //
+// A crash has one cause. Once a request is known to crash targets, others that were at no
+// other crashes than it, and at fewer, were bystanders, and are clear.
+//
 // A quarantine is not for good, because targets get repaired. After it, the request
 // is suspected for a while: one more crash quarantines it again, for twice as long, and
 // after crashesMax crashes for quarantineMax.
@@ -75,15 +78,16 @@
 // Table holds the evidence about all requests. It implements gypsumrail.Quarantine and
 // is not safe for concurrent use.
 type Table struct {
-	entries map[uint64]*entry
-	news    map[uint64]bool // entries that changed since the last call of News
+	entries  map[uint64]*entry
+	repeated map[uint64]*entry // those with repeated crashes; see isRepeated
+	news     map[uint64]bool   // entries that changed since the last call of News
 }
 
 var _ gypsumrail.Quarantine = (*Table)(nil)
 
 // New returns a table without evidence.
 func New() *Table {
-	return &Table{entries: make(map[uint64]*entry), news: make(map[uint64]bool)}
+	return &Table{entries: make(map[uint64]*entry), repeated: make(map[uint64]*entry), news: make(map[uint64]bool)}
 }
 
 // RecordCrash records that the target beside the node with this address ended while it
@@ -102,7 +106,7 @@
 	}
 	for i := range e.crashes {
 		known := &e.crashes[i]
-		if known.address == c.address && max(known.at-c.at, c.at-known.at) < sameCrash {
+		if known.same(c) {
 			if c.onTrial && !known.onTrial {
 				known.onTrial = true
 				t.news[fingerprint] = true
@@ -113,7 +117,17 @@
 	e.crashes = append(e.crashes, c)
 	slices.SortStableFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
 	e.crashes = e.crashes[max(0, len(e.crashes)-crashesMax):]
+	t.changed(fingerprint, e)
+}
+
+// changed notes that the evidence about a request changed.
+func (t *Table) changed(fingerprint uint64, e *entry) {
 	t.news[fingerprint] = true
+	if e.isRepeated() {
+		t.repeated[fingerprint] = e
+	} else {
+		delete(t.repeated, fingerprint)
+	}
 }
 
 // entry returns the entry of a request, which it adds if there is none. It returns nil if
@@ -147,7 +161,7 @@
 		return
 	}
 	e.completed, e.completedAt = true, at
-	t.news[fingerprint] = true
+	t.changed(fingerprint, e)
 }
 
 // Judge returns the judgment of a request.
@@ -158,7 +172,7 @@
 		return judgment
 	}
 	standing, until := e.standing(now)
-	if standing == gypsumrail.Clear {
+	if standing == gypsumrail.Clear || t.isBystander(e) {
 		return judgment
 	}
 	judgment.Standing, judgment.Left = standing, until-now
@@ -168,9 +182,33 @@
 	return judgment
 }
 
+// isBystander reports whether each crash of a request has another cause: a request that is
+// known to crash targets and was at more crashes.
+func (t *Table) isBystander(e *entry) bool {
+	for _, c := range e.crashes {
+		explained := false
+		for _, cause := range t.repeated {
+			if len(cause.crashes) > len(e.crashes) && cause.term() > 0 && slices.ContainsFunc(cause.crashes, c.same) {
+				explained = true
+				break
+			}
+		}
+		if !explained {
+			return false
+		}
+	}
+	return true
+}
+
+// same reports whether two reports are about the same crash.
+func (c crash) same(d crash) bool {
+	return c.address == d.address && max(c.at-d.at, d.at-c.at) < sameCrash
+}
+
 func (e *entry) lastCrash() gypsumrail.Millis { return e.crashes[len(e.crashes)-1].at }
 
-// standing returns the standing of a request with crashes, and when it ends.
+// standing returns the standing of a request with crashes, and when it ends, without
+// regard to other requests.
 func (e *entry) standing(now gypsumrail.Millis) (gypsumrail.Standing, gypsumrail.Millis) {
 	term := e.term()
 	if term == 0 {
@@ -234,6 +272,7 @@
 
 func (t *Table) drop(fingerprint uint64) {
 	delete(t.entries, fingerprint)
+	delete(t.repeated, fingerprint)
 	delete(t.news, fingerprint)
 }
 
@@ -286,10 +325,7 @@
 // times, or 0 without any.
 func (t *Table) Digest() uint64 {
 	var digest uint64
-	for fingerprint, e := range t.entries {
-		if !e.isRepeated() {
-			continue
-		}
+	for fingerprint, e := range t.repeated {
 		buffer := binary.BigEndian.AppendUint64(nil, fingerprint)
 		onTrial := 0
 		for _, c := range e.crashes {
--- a/internal/node/blame/table_test.go
+++ b/internal/node/blame/table_test.go
@@ -75,6 +75,60 @@
 	}
 }
 
+// Guards against a verdict on innocents that ran beside the guilty request when targets
+// crashed: once, at each crash by chance, or as another request that crashes targets too.
+func TestBystanders(t *testing.T) {
+	type crash struct {
+		at       gypsumrail.Millis
+		address  string
+		trial    bool
+		requests []uint64
+	}
+	const s, guilty, beside = gypsumrail.Second, uint64(7), uint64(8)
+	for _, test := range []struct {
+		name    string
+		crashes []crash
+		at      gypsumrail.Millis
+		want    gypsumrail.Standing // of the request beside the guilty one
+	}{
+		{"no verdict yet", []crash{{0, "a", false, []uint64{guilty, beside}}}, 10, gypsumrail.Suspected},
+		{"beside it at the first crash", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{guilty}}}, 110, gypsumrail.Clear},
+		{"beside it at the last crash", []crash{
+			{0, "a", false, []uint64{guilty}}, {100, "b", true, []uint64{guilty, beside}}}, 110, gypsumrail.Clear},
+		{"beside it at both crashes, on trial", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{guilty, beside}}}, 110, gypsumrail.Quarantined},
+		{"and not at the third", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{beside}}, {100, "b", false, []uint64{guilty}},
+			{140, "c", false, []uint64{guilty}}}, 150, gypsumrail.Clear},
+		{"at two crashes of several requests", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{guilty}}, {200, "c", false, []uint64{9, beside}},
+			{300, "d", true, []uint64{9}}}, 310, gypsumrail.Suspected},
+		{"crashes one target without it", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{guilty}}, {5 * s, "c", false, []uint64{beside}}}, 5 * s, gypsumrail.Suspected},
+		{"crashes two targets without it", []crash{
+			{0, "a", false, []uint64{guilty, beside}}, {100, "b", true, []uint64{guilty}},
+			{5 * s, "c", false, []uint64{beside}}, {6 * s, "d", true, []uint64{beside}}}, 6 * s, gypsumrail.Quarantined},
+		{"at another crash of the same target", []crash{
+			{0, "a", false, []uint64{guilty}}, {100, "b", true, []uint64{guilty}}, {5 * s, "a", false, []uint64{beside}}}, 5 * s, gypsumrail.Suspected},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := New()
+			for _, c := range test.crashes {
+				for _, fingerprint := range c.requests {
+					table.RecordCrash(c.at, c.address, fingerprint, c.trial)
+				}
+			}
+			if got := table.Judge(test.at, guilty).Standing; len(test.crashes) > 1 && got != gypsumrail.Quarantined {
+				t.Errorf("the guilty request is %q", got)
+			}
+			if got := table.Judge(test.at, beside).Standing; got != test.want {
+				t.Errorf("the request beside it is %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against nodes that judge differently because messages arrive late, twice or in
 // another order.
 func TestMergeInAnyOrder(t *testing.T) {
--- a/internal/node/logs/table.go
+++ b/internal/node/logs/table.go
@@ -94,7 +94,7 @@
 		"the targets beside the nodes in `Targets` of `Detail` crashed while they ran requests with the fingerprint in `Subject`, `Crashes` in all, and none ran one to its end since; such requests are refused for `Left` milliseconds",
 		"look for the request with the same `Fingerprint` in event 2405, and correct the target; `gypsumrail release` lifts the quarantine"},
 	{gypsumrail.NoticeQuarantineEnded, "QuarantineEnded", log.InfoLevel, "quarantine ended",
-		"the quarantine of the request in `Subject` ran out or was lifted, or the request completed; if it ran out, one more crash quarantines it again, for longer", "nothing"},
+		"the quarantine of the request in `Subject` ran out or was lifted, the request completed, or another one proved to be the cause; if it ran out, one more crash quarantines it again, for longer", "nothing"},
 	{gypsumrail.NoticeRequestReleased, "RequestReleased", log.InfoLevel, "request released by an operator",
 		"an operator told this node to clear the request in `Subject` of all crashes until now; the node tells its peers", "nothing"},
 	{2001, "NodeStarted", log.InfoLevel, "node started", "the ports are open", "nothing"},
