Suspect canceled runs only where fingerprints cover the body

Change: core.Settings.SuspectCanceled, set for plain requests only. core TestCanceledRuns has a case without it, which failed before.

--- a/core/bootstrap_test.go
+++ b/core/bootstrap_test.go
@@ -80,7 +80,7 @@
 // While a service is replaced, all upstreams that a node knows can be leaving for a
 // moment. Calls of the own target then wait for a new upstream and do not fail.
 func TestCallOfTargetAwaitsUpstream(t *testing.T) {
-	n, _ := newRecordingNode()
+	n, _ := newRecordingNode(core.Settings{})
 	n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 100, Call: 1, Arrival: &gypsumrail.Arrival{
 		Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000,
 	}})
--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -23,12 +23,12 @@
 
 // newRecordingNode returns a node of the service front whose limiter records its
 // samples.
-func newRecordingNode() (*core.Node, *recordingLimiter) {
+func newRecordingNode(settings core.Settings) (*core.Node, *recordingLimiter) {
 	self := gypsumrail.Instance{Name: "front-0", Service: "front", Zone: "z0", Address: "127.0.0.1:1", Incarnation: 1 << 20, State: gypsumrail.Live}
 	parts := setup.New(self, setup.Settings{})
 	s := &recordingLimiter{Limiter: limit.NewStatic(8)}
 	parts.Limiter = s
-	n := core.New(core.Settings{}, parts)
+	n := core.New(settings, parts)
 	n.Step(&gypsumrail.Event{Kind: gypsumrail.RecordsRead, Records: labRecords(8), Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueRecords, Revision: 1}})
 	n.Step(&gypsumrail.Event{Kind: gypsumrail.InstancesRead, Instances: []gypsumrail.Instance{self}, Value: gypsumrail.ValueVersion{Name: gypsumrail.ValueInstances, Revision: 1}})
 	return n, s
@@ -50,7 +50,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			n, s := newRecordingNode()
+			n, s := newRecordingNode(core.Settings{})
 			n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 100, Call: 1, Arrival: &gypsumrail.Arrival{
 				Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000,
 			}})
@@ -87,7 +87,7 @@
 	}
 	for _, test := range tests {
 		t.Run(string(test.reason), func(t *testing.T) {
-			n, s := newRecordingNode()
+			n, s := newRecordingNode(core.Settings{})
 			n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: 100, Call: 1, Arrival: &gypsumrail.Arrival{
 				Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000,
 			}})
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -153,6 +153,9 @@
 
 // noteCanceled remembers that a run on the own target was canceled.
 func (n *Node) noteCanceled(v *receiverCall) {
+	if !n.settings.SuspectCanceled {
+		return
+	}
 	s := &n.suspicions
 	if len(s.canceled) >= canceledMax {
 		s.canceled = slices.Delete(s.canceled, 0, len(s.canceled)-canceledMax+1)
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -20,18 +20,20 @@
 		name   string
 		result gypsumrail.Result // of the other call
 		after  gypsumrail.Millis // from the cancellation to the result
+		unset  bool              // without Settings.SuspectCanceled
 		want   []uint64          // suspected requests
 	}{
-		{"the target ends", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonCrashed}, 100, []uint64{left, other}},
-		{"the target ends later", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonCrashed}, 600, []uint64{other}},
-		{"the target cannot be reached", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetFailed}, 100, []uint64{left}},
-		{"the target cannot be reached later", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetFailed}, 600, nil},
-		{"the target cuts a connection", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonBroken}, 100, nil},
-		{"the target refuses", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetBusy}, 100, nil},
+		{"the target ends", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonCrashed}, 100, false, []uint64{left, other}},
+		{"the target ends later", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonCrashed}, 600, false, []uint64{other}},
+		{"the target cannot be reached", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetFailed}, 100, false, []uint64{left}},
+		{"the target cannot be reached later", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetFailed}, 600, false, nil},
+		{"the target cuts a connection", gypsumrail.Result{Outcome: gypsumrail.Unknown, Reason: gypsumrail.ReasonBroken}, 100, false, nil},
+		{"the target refuses", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetBusy}, 100, false, nil},
+		{"requests with other bodies are equal", gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: gypsumrail.ReasonTargetFailed}, 100, true, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			n, _ := newRecordingNode()
+			n, _ := newRecordingNode(core.Settings{SuspectCanceled: !test.unset})
 			arrive := func(call gypsumrail.CallID, at gypsumrail.Millis, fingerprint uint64) {
 				n.Step(&gypsumrail.Event{Kind: gypsumrail.CallArrived, At: at, Call: call, Arrival: &gypsumrail.Arrival{
 					Origin: gypsumrail.FromPeer, Service: "front", Class: "Read", Request: "r", Attempt: 1, Remaining: 2000, Fingerprint: fingerprint,
--- a/core/settings.go
+++ b/core/settings.go
@@ -37,8 +37,12 @@
 	// does. Its own callers may have no other node, and other nodes send it no calls
 	// as long as the service has another upstream.
 	ServeDraining bool
-	DrainMin      gypsumrail.Millis // minimum duration of a drain; default 1 s
-	DrainMax      gypsumrail.Millis // maximum duration, after which running calls are cut off; default 30 s
+	// SuspectCanceled makes the runs that were canceled shortly before the target ended
+	// suspected. It requires fingerprints that tell requests with other bodies apart:
+	// otherwise one overloaded target would slow down all requests of a class.
+	SuspectCanceled bool
+	DrainMin        gypsumrail.Millis // minimum duration of a drain; default 1 s
+	DrainMax        gypsumrail.Millis // maximum duration, after which running calls are cut off; default 30 s
 }
 
 const (
--- a/internal/node/setup/plain.go
+++ b/internal/node/setup/plain.go
@@ -72,7 +72,7 @@
 // PlainCore returns the reducer's settings of a node for plain requests.
 func PlainCore(settings PlainSettings) core.Settings {
 	return core.Settings{
-		GossipEvery: -1, GossipAway: platformDownGossip, FreeRefusals: true, ExemptChildren: true, ServeDraining: true,
+		GossipEvery: -1, GossipAway: platformDownGossip, FreeRefusals: true, ExemptChildren: true, ServeDraining: true, SuspectCanceled: true,
 		DrainMin: settings.DrainMin, DrainMax: settings.DrainMax,
 	}
 }
