Bound the evidence in a control message by bytes

Cause: evidence was bounded by fingerprints only. Each crash also carries an address, so a message about many crashes of few requests each was longer than the receiver takes. Not only did no evidence arrive then, but none of the news of members and values in the same message either.

Change: 24 KB for all evidence, at most half of it for completions.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -79,8 +79,8 @@
 	return true
 }
 
-// startSuspected starts the next suspected call if none runs on the own target, and all
-// waiting calls that are no longer suspected.
+// startSuspected starts the next suspected call if none runs on the own target, and before it
+// the waiting calls that are no longer suspected.
 func (n *Node) startSuspected() {
 	for n.suspicions.running == 0 && len(n.suspicions.waiting) > 0 {
 		call := n.suspicions.waiting[0]
--- a/internal/node/peer/evidence.go
+++ b/internal/node/peer/evidence.go
@@ -9,28 +9,40 @@
 
 const (
 	// evidenceMax bounds the fingerprints in one message, each counted as often as it
-	// occurs. They take 24 KB; directory entries take half of ExchangeMax.
+	// occurs.
 	evidenceMax = 3072
+	// evidenceBytes bounds the evidence in one message. Directory entries take half of
+	// ExchangeMax.
+	evidenceBytes = evidenceMax * fingerprintBytes
+	// fingerprintBytes is the size of an encoded fingerprint.
+	fingerprintBytes = 8
+	// groupBytes is the most that tags, lengths and numbers of a crash or completion take,
+	// besides its address and fingerprints.
+	groupBytes = 24
 	// ageMax bounds the ages of evidence. It exceeds the longest time for which evidence
 	// counts.
 	ageMax = 24 * 60 * gypsumrail.Minute
 )
 
-// addEvidence adds the evidence to a message, and leaves out what exceeds evidenceMax.
+// addEvidence adds the evidence to a message, and leaves out what exceeds evidenceBytes.
+// Completions get half of it at most, so that crashes always find room.
 func addEvidence(m *ExchangeMessage, e gypsumrail.Evidence) {
-	left := evidenceMax
-	take := func(requests []uint64) []uint64 {
-		requests = requests[:min(len(requests), left)]
-		left -= len(requests)
+	left := evidenceBytes / 2
+	take := func(requests []uint64, bytes int) []uint64 {
+		requests = requests[:min(len(requests), max(0, left-bytes)/fingerprintBytes)]
+		if len(requests) > 0 {
+			left -= bytes + len(requests)*fingerprintBytes
+		}
 		return requests
 	}
 	for _, c := range e.Completions {
-		if requests := take(c.Requests); len(requests) > 0 {
+		if requests := take(c.Requests, groupBytes); len(requests) > 0 {
 			m.Completions = append(m.Completions, &CompletionMessage{Age: clampAge(c.Age), Requests: requests})
 		}
 	}
+	left += evidenceBytes / 2
 	for _, c := range e.Crashes {
-		if requests := take(c.Requests); len(requests) > 0 {
+		if requests := take(c.Requests, groupBytes+len(c.Address)); len(requests) > 0 {
 			m.Crashes = append(m.Crashes, &CrashMessage{Address: c.Address, Age: clampAge(c.Age), Requests: requests, OnTrial: c.OnTrial})
 		}
 	}
--- a/internal/node/peer/peer_test.go
+++ b/internal/node/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +57,14 @@
 	e := gypsumrail.Exchange{From: self, Entries: []gypsumrail.Instance{self}}
 	e.Digest.Buckets[3] = 1 << 63
 	e.Digest.Values = []gypsumrail.ValueVersion{{Name: gypsumrail.ValueRecords, Revision: 9, Hash: 1 << 60}}
+	e.Digest.Evidence = 1 << 61
+	e.Evidence = gypsumrail.Evidence{
+		Crashes: []gypsumrail.Crash{
+			{Address: "127.0.0.1:2", Age: 700, Requests: []uint64{1 << 63, 5}},
+			{Address: "127.0.0.1:3", Requests: []uint64{5}, OnTrial: true},
+		},
+		Completions: []gypsumrail.Completion{{Age: 12 * 60 * 60 * gypsumrail.Second, Requests: []uint64{7}}},
+	}
 	return e
 }
 
@@ -105,6 +114,59 @@
 	}
 }
 
+// Guards against evidence that makes a message too long, so that neither it nor the news of
+// members arrives: many requests at one crash, or many crashes of few requests each. Guards
+// against malformed evidence that is taken.
+func TestEvidenceLimits(t *testing.T) {
+	var requests []uint64
+	for i := range 10_000 {
+		requests = append(requests, uint64(i+1))
+	}
+	var crashes []gypsumrail.Crash
+	var completions []gypsumrail.Completion
+	for i := range 3000 {
+		crashes = append(crashes, gypsumrail.Crash{
+			Address: fmt.Sprintf("255.255.%d.%d:65535", i/250, i%250), Age: gypsumrail.Minute, Requests: requests[i : i+1], OnTrial: true,
+		})
+		completions = append(completions, gypsumrail.Completion{Age: gypsumrail.Minute, Requests: requests[i : i+1]})
+	}
+	for _, test := range []struct {
+		name     string
+		evidence gypsumrail.Evidence
+		wantErr  bool
+	}{
+		{"one crash", gypsumrail.Evidence{Crashes: []gypsumrail.Crash{{Address: "127.0.0.1:2", Requests: requests}}}, false},
+		{"many crashes", gypsumrail.Evidence{Crashes: crashes}, false},
+		{"many completions", gypsumrail.Evidence{Completions: completions}, false},
+		{"both", gypsumrail.Evidence{Crashes: crashes, Completions: completions}, false},
+		{"a host name", gypsumrail.Evidence{Crashes: []gypsumrail.Crash{{Address: "example:2", Requests: requests[:1]}}}, true},
+		{"no address", gypsumrail.Evidence{Crashes: []gypsumrail.Crash{{Requests: requests[:1]}}}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			handler := &stubHandler{}
+			client, address := serve(t, handler, 1)
+			m := message()
+			for range entriesMax {
+				m.Entries = append(m.Entries, m.From)
+			}
+			m.Evidence = test.evidence
+			_, err := client.Exchange(t.Context(), address, m)
+			if test.wantErr {
+				if !errors.Is(err, ErrMalformed) {
+					t.Errorf("got %v, want ErrMalformed", err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatalf("a full message was not delivered: %v", err)
+			}
+			if got := handler.got.Evidence; len(got.Crashes)+len(got.Completions) == 0 {
+				t.Error("no evidence arrived")
+			}
+		})
+	}
+}
+
 // Pull must reject content that does not match its version, and compressed
 // content that expands beyond ContentMax.
 func TestPull(t *testing.T) {
