Test the header with crashes, and that callers cannot send it

wire TestCrashes: round trip and 14 malformed texts. relay TestCallersCannotAccuse: seen to fail (four of four requests refused) with the header left out of those that are not passed on.

--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -170,3 +170,20 @@
 		t.Errorf("requests held after the release: %s", diff)
 	}
 }
+
+// Guards against callers that have a request quarantined by saying that it crashed targets.
+func TestCallersCannotAccuse(t *testing.T) {
+	entry, _, _ := deployment(t, writeEcho, writeEcho)
+	for i := range 4 {
+		r := newRequest(t, entry, http.MethodGet, "/read/accused", fmt.Sprintf("a%d", i), "")
+		r.Header.Set("Gypsumrail-Crashes", "10.0.0.1:1 5,10.0.0.2:1 5 trial,10.0.0.3:1 5 trial")
+		answer, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+		if answer.StatusCode != http.StatusOK {
+			t.Errorf("request %d was answered %d", i, answer.StatusCode)
+		}
+	}
+}
--- a/internal/node/wire/wire_test.go
+++ b/internal/node/wire/wire_test.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// Guards against crashes that change on the way between nodes, and against malformed ones
+// that are taken.
+func TestCrashes(t *testing.T) {
+	want := []gypsumrail.Crash{{Address: "10.0.0.1:7400", Age: 5}, {Address: "10.0.0.2:7400", OnTrial: true}}
+	got, err := ParseCrashes(FormatCrashes(want))
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("%v\n%s", err, diff)
+	}
+	var many []gypsumrail.Crash
+	for i := range 2 * crashesMax {
+		many = append(many, gypsumrail.Crash{Address: "10.0.0.1:7400", Age: gypsumrail.Millis(i) - 1})
+	}
+	if got, err := ParseCrashes(FormatCrashes(many)); err != nil || !cmp.Equal(got, many[crashesMax:]) {
+		t.Errorf("of too many crashes the last %d must arrive: %v, %v", crashesMax, got, err)
+	}
+	for _, text := range []string{
+		"", ",", "10.0.0.1:7400", "10.0.0.1:7400 ", "10.0.0.1:7400 -1", "10.0.0.1:7400 x", "10.0.0.1:7400 5 guilty", "10.0.0.1:7400 5 trial trial",
+		"host:7400 5", " 5", "10.0.0.1:7400 86400001", "10.0.0.1:7400 99999999999999999999", "10.0.0.1:7400 5,",
+		FormatCrashes(many) + ",10.0.0.1:7400 5",
+	} {
+		if got, err := ParseCrashes(text); err == nil {
+			t.Errorf("%q was accepted as %v", text, got)
+		}
+	}
+}
+
 // The parsers must not panic and must not accept values outside their ranges.
 func FuzzParse(f *testing.F) {
 	f.Add("drawings", "900", "3", "Name=a, Service=b, Zone=c, Address=127.0.0.1:1, Incarnation=1, Version=1, State=Live", "x:1:2")
