Let control messages pass the cutter of TestHeadOfPeerStops

Again in 2 of 2 runs with the race detector at load average 26 to 36, reasons NoUpstream and Deadline.

Cause, in the test: the cutter stands in for a node, but only for its port of calls. An answer that is overdue by 0.1 s makes the sender probe the node by a control message, on the port after that. Nothing listened there, so the node was lost, and its calls were refused or waited for it. No check or bound is changed; the stand-in passes control messages on now.

--- a/internal/node/relay/heads_test.go
+++ b/internal/node/relay/heads_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -23,9 +24,29 @@
 	cutAt int // -1: pass everything on
 }
 
+// newCutter returns a cutter of calls to a node's peers port. Control messages pass unchanged on
+// the port after its own, as at a node: without them, an answer that comes late on a busy
+// machine makes the node seem lost.
 func newCutter(t *testing.T, to string) *cutter {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePorts(t))) //nolint:noctx // loopback
+	port := freePorts(t)
+	listenCutter(t, port+1, portAfter(t, to))
+	return listenCutter(t, port, to)
+}
+
+// portAfter returns the address with the next higher port.
+func portAfter(t *testing.T, address string) string {
+	t.Helper()
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(parsed.Addr(), parsed.Port()+1).String()
+}
+
+func listenCutter(t *testing.T, port int, to string) *cutter {
+	t.Helper()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)) //nolint:noctx // loopback
 	if err != nil {
 		t.Fatal(err)
 	}
