Show that a crash leaves clients with a part as a complete answer

An upstream whose answers have no length is killed while it writes them. The node takes the end of the connection for the end of the answer, and clients get a part of the body as a complete 200.

--- a/review/main.go
+++ b/review/main.go
@@ -30,6 +30,9 @@
 var cases = map[string]func(*stage) (bool, error){}
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "upstream" {
+		os.Exit(runUpstream(os.Args[2], os.Args[3], os.Args[4]))
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-stand CASE REPOSITORY RECORD")
 		os.Exit(exitNotRun)
--- a/review/upstream.go
+++ b/review/upstream.go
@@ -41,6 +41,10 @@
 	runs  []*run
 	slow  float64 // times as long that runs take which begin now; 0 counts as 1
 
+	// unframed makes successes have no length: they come in pieces and end with their
+	// connection.
+	unframed bool
+
 	// endless, if set, decides whether a request is answered with a head and a body that
 	// does not end, and at which pace.
 	endless func(id string) (bytesPerSecond int, ok bool)
@@ -52,6 +56,12 @@
 	u.endless = endless
 }
 
+func (u *upstream) setUnframed() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.unframed = true
+}
+
 // setState sets the state in the store's entry: ready or draining.
 func (u *upstream) setState(state string) {
 	u.mu.Lock()
@@ -204,7 +214,7 @@
 		u.log.addf("run %s ends at %s: %s", id, u.id, how)
 	}
 	u.mu.Lock()
-	endless, slow := u.endless, u.slow
+	endless, slow, unframed := u.endless, u.slow, u.unframed
 	u.mu.Unlock()
 	if endless != nil {
 		if pace, ok := endless(id); ok {
@@ -227,6 +237,10 @@
 		return false
 	}
 	finish("200")
+	if unframed && request.Method != http.MethodHead {
+		u.writeUnframed(conn, id, bodyOf(id, size))
+		return false
+	}
 	return u.write(conn, request, http.StatusOK, id, "", bodyOf(id, size))
 }
 
@@ -278,6 +292,20 @@
 	return err == nil && !request.Close
 }
 
+// writeUnframed writes a success without a length, as it becomes ready.
+func (u *upstream) writeUnframed(conn net.Conn, id string, body []byte) {
+	const piece, pause = 1000, 5 * time.Millisecond
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + signatureOf(id, body) + "\r\nConnection: close\r\n\r\n"
+	for rest := append([]byte(head), body...); len(rest) > 0; {
+		n := min(piece, len(rest))
+		if _, err := conn.Write(rest[:n]); err != nil {
+			return
+		}
+		rest = rest[n:]
+		time.Sleep(pause)
+	}
+}
+
 // parsePath returns the work and the size of the answer that the end of a path asks for.
 func parsePath(path string) (time.Duration, int) {
 	parts := strings.Split(path, "/")
