Let the second SIGTERM follow from a leaving upstream

A node is restarted while the upstream next to it leaves, and gets SIGTERM again when that has ended.

--- a/review/terms.go
+++ b/review/terms.go
@@ -9,13 +9,13 @@
 
 func init() { cases["terms"] = terms }
 
-// terms stops a node with SIGTERM, and again while it drains.
+// terms restarts a node while the upstream next to it leaves, so that SIGTERM comes twice.
 func terms(s *stage) (bool, error) {
 	const (
 		host    = "hulo84.example"
 		limit   = 5 * time.Second
 		clients = 10
-		workMS  = "1000"
+		pause   = 300 * time.Millisecond
 	)
 	config := map[string]any{
 		"routes":   []any{route("r-order", host, "/order/", "non_idempotent", "ordering", 2.5, 1.5, 0, 2)},
@@ -24,8 +24,12 @@
 	if err := s.build(config, 64, "ordering", "ordering", "ordering"); err != nil {
 		return false, err
 	}
+	node, leaver := s.machines[0], s.upstreams[0]
 	time.Sleep(4 * time.Second) // machines count as calm after 3 s
-	node := s.machines[0]
+	leaver.setState("draining")
+	s.publish(leaver)
+	time.Sleep(drainS + pause) // it serves a little longer
+
 	var mu sync.Mutex
 	var results []result
 	var work sync.WaitGroup
@@ -36,19 +40,24 @@
 				return
 			}
 			defer c.close()
-			r := c.send(order{method: http.MethodPost, host: host, path: "/order/" + workMS + "/5000", body: "order", limit: limit})
+			r := c.send(order{method: http.MethodPost, host: host, path: "/order/1000/5000", body: "order", limit: limit})
 			mu.Lock()
 			results = append(results, r)
 			mu.Unlock()
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
-	node.signal(syscall.SIGTERM)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(pause)
 	if s.trouble {
+		s.log.addf("the platform stops the node to start it again")
 		node.signal(syscall.SIGTERM)
 	}
+	time.Sleep(pause)
+	leaver.end()
+	s.store.remove("servers/" + leaver.id)
+	s.log.addf("%s has ended, so the platform stops the node next to it", leaver.id)
+	node.signal(syscall.SIGTERM)
 	work.Wait()
+
 	ran := map[string]string{}
 	for _, r := range runsOf(s.upstreams...) {
 		ran[r.id] = r.upstream
