--- a/review/unframed.go
+++ b/review/unframed.go
@@ -38,8 +38,9 @@
 		limit   = 3 * time.Second
 		clients = 40
 		each    = 10
-		size    = 36_000 // the largest answer of drawing-pull in the site file
-		killAt  = 500 * time.Millisecond
+		size    = 36_000                // the largest answer of drawing-pull in the site file
+		stagger = 10 * time.Millisecond // between the starts of two clients
+		killAt  = 700 * time.Millisecond
 	)
 	config := map[string]any{
 		"routes":   []any{route("r-drawing", host, "/drawing/", "idempotent", "drawings", 1.5, 0.8, 2, 2)},
@@ -73,8 +74,9 @@
 	var mu sync.Mutex
 	var results []result
 	var work sync.WaitGroup
-	for range clients {
+	for i := range clients {
 		work.Go(func() {
+			time.Sleep(time.Duration(i) * stagger)
 			c, err := dial(s.log, s.machines[0], 0)
 			if err != nil {
 				return
