Bound the memory of all answers that a node holds

Cause: each answer is buffered whole, up to 16 MiB, and nothing bounds their sum; the buffer is doubled by copying, and made at once for a length that is only announced. Ruled out: connections and goroutines (endless heads, chunk sizes and trailers stay below the bound of TestEndlessAnswers; bodies do not).

At the bound the longest unfinished answer of the target that holds most is given up, with 502 and event 2408; complete ones never are, and while they take most of the memory the others wait. Bodies are kept in blocks that grow with the bytes read. The runtime has a soft memory limit.

--- a/internal/cmds/verbs/args.go
+++ b/internal/cmds/verbs/args.go
@@ -55,6 +55,19 @@
 	return value
 }
 
+// number parses a number from low to high. It returns fallback for an empty text.
+func (e *settingErrors) number(flag, text string, low, high, fallback float64) float64 {
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= low && value <= high) {
+		e.add(flag, fmt.Sprintf("%q is not a number from %g to %g", text, low, high))
+		return fallback
+	}
+	return value
+}
+
 // write writes one line for each invalid setting and returns ExitBadInput.
 func (e settingErrors) write(name string, errOut io.Writer) int {
 	for _, problem := range e {
--- a/internal/cmds/verbs/sidecar.go
+++ b/internal/cmds/verbs/sidecar.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -29,6 +30,7 @@
 	Peers      string  `arg:"--peers,env:GYPSUMRAIL_PEERS" placeholder:"ADDRESS" help:"port for other nodes, the same number on all; the next port is used too (required)"`
 	Admin      string  `arg:"--admin,env:GYPSUMRAIL_ADMIN" placeholder:"ADDRESS" help:"port for operators (required)"`
 	Grace      float64 `arg:"--grace,env:GYPSUMRAIL_GRACE" placeholder:"SECONDS" help:"time between SIGTERM and the end of the process, 1 to 3600" default:"6"`
+	Memory     string  `arg:"--memory,env:GYPSUMRAIL_MEMORY" placeholder:"MEGABYTES" help:"memory that the process may use, 64 to 1048576; a fifth of it is for answers [default: 184]"`
 	RetryShare float64 `arg:"--retry-share,env:GYPSUMRAIL_RETRY_SHARE" placeholder:"SHARE" help:"retries of a service per success, over 0 to 1" default:"0.1"`
 	RetryBurst int     `arg:"--retry-burst,env:GYPSUMRAIL_RETRY_BURST" placeholder:"N" help:"retries of a service that can be saved up, 1 to 1000" default:"2"`
 	LogLevel   string  `arg:"--log-level,env:GYPSUMRAIL_LOG_LEVEL" placeholder:"LEVEL" help:"debug, info, warn or error [default: info]"`
@@ -57,6 +59,15 @@
 	zoneDelay = gypsumrail.Millis(10)
 	graceMax  = 3600 // maximum of --grace in seconds
 	burstMax  = 1000 // maximum of --retry-burst in retries
+
+	// Limits and default of --memory in megabytes. The default is the memory of the
+	// smallest machines.
+	memoryMin, memoryMax, memoryDefault = 64, 1 << 20, 184
+
+	megabyte = 1_000_000
+	// heapShare is the share of the memory from which on the runtime collects garbage
+	// more often. The program's text and what the C library holds are outside of it.
+	heapShare = 0.75
 )
 
 func runSidecar(args []string, out, errOut io.Writer) int {
@@ -68,6 +79,7 @@
 	if len(errs) > 0 {
 		return errs.write("sidecar", errOut)
 	}
+	debug.SetMemoryLimit(int64(heapShare * float64(settings.Memory)))
 	return serveSidecar(settings, errOut)
 }
 
@@ -98,6 +110,7 @@
 		DrainMin:   drainMin,
 		DrainMax:   gypsumrail.MillisOf(time.Duration(a.Grace*float64(time.Second))) - drainReserve,
 	}
+	s.Memory = int64(errs.number("--memory", a.Memory, memoryMin, memoryMax, memoryDefault) * megabyte)
 	if a.Grace < 1 || a.Grace > graceMax {
 		errs.add("--grace", fmt.Sprintf("%g is not from 1 to %d", a.Grace, graceMax))
 	}
--- a/internal/node/admin/client.go
+++ b/internal/node/admin/client.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/lab/trace"
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 )
 
 // statusMax is the maximum size of a status in bytes. One upstream takes about
@@ -42,6 +43,7 @@
 	LinesDropped   uint64 // log events dropped because the log was written too slowly
 	EventsDropped  uint64 // lines of /events that were not delivered, mostly to slow readers
 	RecordsInForce gypsumrail.Revision
+	AnswerMemory   *quota.Usage `json:",omitempty"` // for plain requests: the memory of the answers that the node holds
 }
 
 // Status is the JSON document that /status returns.
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -11,6 +11,7 @@
 	"unicode"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 )
 
 // Write writes the status as tables for a terminal.
@@ -42,6 +43,9 @@
 	row("Since start", "%d arrived, %d ran here, %d retries, %d resends joined, %d silent connections, %d pauses",
 		c.Arrived, c.Served, c.Retries, c.Joined, c.SilentConns, c.Pauses)
 	row("Refused", "%s", refusals(n.Refusals))
+	if m := s.Shell.AnswerMemory; m != nil {
+		row("Answers held", "%s", answerMemory(m))
+	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
@@ -72,6 +76,16 @@
 	return nil
 }
 
+// answerMemory describes the memory that answers take, and the targets that take most.
+func answerMemory(m *quota.Usage) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d of %d kB, %d given up", (m.Reading+m.Ready)/1000, m.Bound/1000, m.GivenUp)
+	for _, t := range m.Targets {
+		fmt.Fprintf(&b, "; %s %d kB unfinished, %d kB not written", t.Target, t.Reading/1000, t.Ready/1000)
+	}
+	return b.String()
+}
+
 func trialMark(onTrial bool) string {
 	if onTrial {
 		return " (on trial)"
--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/node/admin"
 	"github.com/gypsumrail/gypsumrail/internal/node/meter"
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 	"github.com/gypsumrail/gypsumrail/internal/node/relay"
 	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
@@ -29,6 +30,8 @@
 	RetryBurst int               // retries that a service can save up
 	DrainMin   gypsumrail.Millis // minimum duration of a drain, in which clients notice that the node leaves
 	DrainMax   gypsumrail.Millis // maximum duration, after which running calls are cut off
+
+	Memory int64 // bytes that the process may use
 }
 
 // Relay is a node for plain requests with all its parts. Plain requests are
@@ -68,11 +71,19 @@
 	})
 }
 
+// answerShare is the share of the memory that answers may take, as a divisor. Garbage that
+// the runtime has not collected yet can double them. Bodies of requests, connections and
+// the node's own state need the rest.
+const answerShare = 5
+
 func newRelayParts(settings RelaySettings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) relay.Parts {
+	answers := quota.New(settings.Memory/answerShare, relay.AnswerBytesMax)
+	m.ObserveAnswers(answers)
 	return relay.Parts{
 		Reducer: m.MeasureNode(node),
 		Status:  func() any { return admin.Node{Status: node.Status(), Plain: true, Refusals: m.Refusals()} },
 		Store:   settings.Store, Catalog: settings.Catalog, Logger: logger, Meter: m, Metrics: m, Clock: clock,
+		Answers: answers,
 	}
 }
 
--- a/internal/node/logs/logger.go
+++ b/internal/node/logs/logger.go
@@ -38,7 +38,7 @@
 // individual lists the numbers that have this higher limit. The literals are notices
 // of package relay.
 var individual = []gypsumrail.Notice{
-	gypsumrail.NoticeRevisionAdopted, gypsumrail.NoticeUpstreamLost, gypsumrail.NoticeUpstreamBack, 2401, 2402, 2403, 2404, 2405,
+	gypsumrail.NoticeRevisionAdopted, gypsumrail.NoticeUpstreamLost, gypsumrail.NoticeUpstreamBack, 2401, 2402, 2403, 2404, 2405, 2408,
 }
 
 // Settings of a Logger.
--- /dev/null
+++ b/internal/node/meter/memory.go
@@ -0,0 +1,24 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
+)
+
+// ObserveAnswers adds the memory that answers take to the metrics. Its labels name only
+// the few targets that hold most when they are read.
+func (m *Meter) ObserveAnswers(answers *quota.Quota) {
+	m.set.RegisterMetricsWriter(func(w io.Writer) {
+		usage := answers.Usage()
+		metrics.WriteGaugeUint64(w, "gypsumrail_answer_bytes_max", uint64(usage.Bound))
+		metrics.WriteCounterUint64(w, "gypsumrail_answers_given_up_total", usage.GivenUp)
+		for _, t := range usage.Targets {
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("gypsumrail_answer_bytes{target=%q,state=\"reading\"}", t.Target), uint64(t.Reading))
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("gypsumrail_answer_bytes{target=%q,state=\"ready\"}", t.Target), uint64(t.Ready))
+		}
+	})
+}
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
@@ -37,11 +38,16 @@
 type attempt struct {
 	answer *answer // set by finishAttempt, taken by passAnswer; guarded by the relay's mutex
 
+	canceling chan struct{} // closed by cancel; nil if nothing waits for it
+
 	mu       sync.Mutex
 	conn     *pool.Conn
 	canceled bool
+	aborted  bool
 }
 
+func newAttempt() *attempt { return &attempt{canceling: make(chan struct{})} }
+
 // bind records the connection that cancel closes. It returns false if the attempt
 // is already canceled.
 func (a *attempt) bind(conn *pool.Conn) bool {
@@ -56,12 +62,32 @@
 func (a *attempt) cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.canceled && a.canceling != nil {
+		close(a.canceling)
+	}
 	a.canceled = true
 	if a.conn != nil {
 		_ = a.conn.Close()
 	}
 }
 
+// abort ends the reading of an answer by closing its connection. Unlike a canceled
+// attempt, the reducer still gets the result.
+func (a *attempt) abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.aborted = true
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
+func (a *attempt) isAborted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.aborted
+}
+
 func (a *attempt) isCanceled() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -81,15 +107,24 @@
 type answer struct {
 	status int
 	head   []byte // status line and headers, without the empty line
-	body   []byte
+	body   body
+	hold   *quota.Hold // of the body's memory; nil for a short one
+}
+
+// release frees the memory of an answer that is not passed on. The answer may be nil.
+func (a *answer) release() {
+	if a != nil {
+		a.hold.Release()
+	}
 }
 
 // reply is an answer, or a refusal of the node's own, for a caller's connection.
 type reply struct {
 	head      []byte // status line and headers, without the empty line
 	extraHead []byte // header lines for the sending node
-	body      []byte
-	close     bool // close the connection after it
+	body      body
+	hold      *quota.Hold // released when the reply is written; nil if the body is short
+	close     bool        // close the connection after it
 }
 
 // cancelAttempt cancels an attempt by its number, from 1. Unknown numbers are ignored.
@@ -156,6 +191,12 @@
 	if c.conn == nil && c.active == 0 && r.calls[c.id] == c {
 		delete(r.calls, c.id)
 		r.largeBodyBytes.Add(-c.largeBodyBytes)
+		c.targetAnswer.release()
+		for _, a := range c.attempts {
+			if a != nil {
+				a.answer.release()
+			}
+		}
 	}
 }
 
@@ -163,6 +204,7 @@
 // step, and records the end of the call in the metrics.
 func (r *Relay) queueReply(c *call, rep reply, result gypsumrail.Result) {
 	if c.conn == nil {
+		rep.hold.Release()
 		return
 	}
 	r.deliveries = append(r.deliveries, delivery{conn: c.conn, call: c, reply: rep})
@@ -193,7 +235,7 @@
 		return
 	}
 	result := gypsumrail.Result{Outcome: gypsumrail.Ran, Status: from.status, AllowanceLeft: e.Allowance, Report: e.Report, Hints: e.Hints, Uses: e.Uses}
-	rep := reply{head: from.head, body: from.body}
+	rep := reply{head: from.head, body: from.body, hold: from.hold}
 	if c.arrival.Origin == gypsumrail.FromPeer {
 		rep.extraHead = appendAnswer(nil, &result, r.revisions())
 	} else {
@@ -241,21 +283,21 @@
 // newRefusal returns an answer of the node's own, with the reason as a JSON body. It
 // has no request identity or Retry-After header if these are empty or zero.
 func newRefusal(requestHeader, request string, status int, reason gypsumrail.Reason, retryAfter gypsumrail.Millis) reply {
-	body := append([]byte(`{"Reason":"`), reason...)
-	body = append(body, "\"}\n"...)
+	text := append([]byte(`{"Reason":"`), reason...)
+	text = append(text, "\"}\n"...)
 	head := appendStatusLine(make([]byte, 0, 192), status)
 	if request != "" {
 		head = appendHeader(head, requestHeader, request)
 	}
 	head = append(head, "Content-Type: application/json\r\nContent-Length: "...)
-	head = strconv.AppendInt(head, int64(len(body)), 10)
+	head = strconv.AppendInt(head, int64(len(text)), 10)
 	head = append(head, '\r', '\n')
 	if retryAfter > 0 {
 		head = append(head, "Retry-After: "...)
 		head = strconv.AppendFloat(head, float64(retryAfter)/float64(gypsumrail.Second), 'f', 3, 64)
 		head = append(head, '\r', '\n')
 	}
-	return reply{head: head, body: body}
+	return reply{head: head, body: [][]byte{text}}
 }
 
 func (r *Relay) logRefusal(c *call, e *gypsumrail.Effect, status int) {
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -330,21 +330,24 @@
 	closeNext := rep.close || c.closeNext || c.origin != gypsumrail.FromPeer && c.relay.draining.Load()
 	c.closing = c.closing || closeNext
 	c.mu.Unlock()
-	rest := rep.body
-	message := make([]byte, 0, len(rep.head)+len(rep.extraHead)+min(len(rest), directWriteBytesMax)+32)
+	size, rest := rep.body.size(), rep.body
+	message := make([]byte, 0, len(rep.head)+len(rep.extraHead)+min(size, directWriteBytesMax)+32)
 	message = append(message, rep.head...)
 	message = append(message, rep.extraHead...)
 	if closeNext {
 		message = append(message, "Connection: close\r\n"...)
 	}
 	message = append(message, '\r', '\n')
-	if len(rest) <= directWriteBytesMax {
-		message, rest = append(message, rest...), nil
+	if size <= directWriteBytesMax {
+		for _, block := range rest {
+			message = append(message, block...)
+		}
+		rest = nil
 	}
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.net.Write(message)
-	if err == nil && len(rest) > 0 {
-		_, err = c.net.Write(rest)
+	for i := 0; i < len(rest) && err == nil; i++ {
+		_, err = c.net.Write(rest[i])
 	}
 	if err != nil {
 		_ = c.net.Close() // ends serveConn too
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// answerBytesMax bounds the body of an answer, which is buffered whole.
-	answerBytesMax = 16 << 20
 	// directWriteBytesMax bounds what is written before the answer is read. It fits
 	// the socket's buffer, so the write does not wait for the other side to read.
 	directWriteBytesMax = 16 << 10
@@ -54,6 +52,8 @@
 	header   string // name of the header with the identity
 	isHead   bool
 	deadline time.Time // for sending; the answer is read until readGrace after it
+	answer   bodyReader
+	began    time.Time
 
 	unidentified bool // the answer has no identity, so what it states proves nothing about the request
 }
@@ -67,9 +67,12 @@
 }
 
 // do sends the request, reads its answer into response and returns the connection
-// to the pool if it can be reused. An error that wraps errNotSent or
-// pool.ErrConnect means that the request cannot run.
+// to the pool if it can be reused. The body is in x.answer then, whose drop the caller
+// must call. An error that wraps errNotSent or pool.ErrConnect means that the request
+// cannot run.
 func (x *httpExchange) do(a *attempt, response *fasthttp.Response) error {
+	x.began = time.Now()
+	x.answer.attempt, x.answer.until = a, x.deadline.Add(readGrace)
 	conn, err := x.open(a)
 	if err != nil {
 		return err
@@ -146,10 +149,8 @@
 // taken if it states an error, and no other request follows on the connection.
 func (x *httpExchange) read(conn *pool.Conn, response *fasthttp.Response) (int, error) {
 	for mismatched := 0; ; mismatched++ {
-		response.Reset()
-		response.SkipBody = x.isHead
-		if err := response.ReadLimitBody(conn.Reader, answerBytesMax); err != nil {
-			return mismatched, err //nolint:wrapcheck // resultOf classifies it
+		if err := x.answer.read(conn, response, x.isHead); err != nil {
+			return mismatched, err
 		}
 		if conn.PendingWrites.Load() > 0 {
 			// The other side answered before the whole request was written. No other
--- a/internal/node/relay/notices.go
+++ b/internal/node/relay/notices.go
@@ -12,4 +12,6 @@
 	NoticeReloaded        gypsumrail.Notice = 2406 // the settings were reloaded
 	// The rate limit that a target stated is malformed.
 	NoticeRateLimitUnreadable gypsumrail.Notice = 2407
+	// An answer was given up, because it was too long for the memory of the node.
+	NoticeAnswerGivenUp gypsumrail.Notice = 2408
 )
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -35,6 +35,7 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/mirror"
 	"github.com/gypsumrail/gypsumrail/internal/node/peer"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
+	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
 
@@ -73,6 +74,7 @@
 	Logger  shell.Logger
 	Meter   shell.Meter
 	Metrics http.Handler
+	Answers *quota.Quota // bounds the memory of the answers that the node holds
 	Clock   gypsumrail.Clock
 }
 
@@ -173,7 +175,7 @@
 
 // Drain starts a graceful shutdown. The readiness probe fails at once. The node
 // finishes the calls in flight and closes each client's connection after its next
-// answer. Run returns when the reducer returns a Stop effect.
+// answer. Run returns when the reducer returns a Stop effect. Further calls do nothing.
 func (r *Relay) Drain() {
 	if r.draining.CompareAndSwap(false, true) {
 		r.stopBy.Store(time.Now().Add(r.settings.DrainMax.Duration() + stopWriteTime).UnixNano())
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -262,7 +262,7 @@
 			Target: targetAddress, Log: io.Discard, LogLevel: log.InfoLevel,
 		},
 		Ports: s.ports, Headers: headers, Store: platform, Catalog: catalog{}, RetryShare: 0.1, RetryBurst: 10,
-		DrainMin: 100, DrainMax: 3000,
+		DrainMin: 100, DrainMax: 3000, Memory: memoryMax,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,7 +19,7 @@
 	if c == nil {
 		return
 	}
-	a := &attempt{}
+	a := newAttempt()
 	for len(c.attempts) < e.Attempt {
 		c.attempts = append(c.attempts, nil)
 	}
@@ -31,6 +33,7 @@
 	x := &httpExchange{
 		pool: r.peers, host: e.To.Address, request: c.request, header: r.settings.Headers.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
+		answer: bodyReader{quota: r.parts.Answers, target: e.To.Name},
 	}
 	x.setMessage(message, c.body)
 	if e.Attempt > 1 {
@@ -47,6 +50,7 @@
 	defer responses.Put(response)
 	event := gypsumrail.Event{Kind: gypsumrail.AttemptFailed, Call: c.id, Attempt: number}
 	var got *answer
+	defer x.answer.drop()
 	err := x.do(a, response)
 	if err == nil {
 		var result gypsumrail.Result
@@ -56,11 +60,12 @@
 			r.checkPeerRevisions(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
 				result.Stated = r.readStated(&response.Header, false)
-				got = takeAnswer(response, c.isHead)
+				got = x.takeAnswer(response)
 			}
 		}
 	}
 	if err != nil {
+		r.logGivenUp(c, x, err)
 		event.Result = resultOf(err)
 		if event.Result.Reason == gypsumrail.ReasonSilent || errors.Is(err, pool.ErrConnect) {
 			r.peers.CloseIdle(to.Address)
@@ -74,16 +79,21 @@
 func (r *Relay) finishAttempt(c *call, a *attempt, got *answer, events ...*gypsumrail.Event) {
 	r.mu.Lock()
 	c.active--
-	a.answer = got
-	if a == c.targetAttempt {
+	// The reducer no longer tracks a canceled attempt. It needs the end of every run.
+	canceled := a.isCanceled()
+	switch {
+	case a == c.targetAttempt:
+		c.targetAnswer.release() // of an earlier run
 		c.targetAnswer, c.targetAttempt = got, nil
 		if r.running[c.request] == c {
 			delete(r.running, c.request)
 		}
+	case !canceled && slices.Contains(c.attempts, a):
+		a.answer = got
+	default:
+		got.release()
 	}
 	own := c.conn
-	// The reducer no longer tracks a canceled attempt. It needs the end of every run.
-	canceled := a.isCanceled()
 	for _, event := range events {
 		if !canceled || event.Attempt == 0 {
 			r.step(event)
@@ -95,11 +105,12 @@
 	writeReplies(out, own)
 }
 
-// takeAnswer takes the answer out of a response that returns to its pool. The body is
-// not copied: large ones would be in memory twice, and stay in the pool.
-func takeAnswer(response *fasthttp.Response, isHead bool) *answer {
-	body := response.SwapBody(nil)
-	return &answer{status: response.StatusCode(), head: answerHead(&response.Header, len(body), isHead), body: body}
+// takeAnswer takes the answer out of the exchange and its response, which returns to its
+// pool. The receiver must pass the answer on or release it.
+func (x *httpExchange) takeAnswer(response *fasthttp.Response) *answer {
+	body, hold := x.answer.body, x.answer.hold
+	x.answer.body, x.answer.hold = nil, nil
+	return &answer{status: response.StatusCode(), head: answerHead(&response.Header, body.size(), x.isHead), body: body, hold: hold}
 }
 
 // runTarget performs the RunTarget effect: it starts a call on this node's target. If the
@@ -114,7 +125,7 @@
 		return
 	}
 	own := &r.settings.Headers
-	a := &attempt{}
+	a := newAttempt()
 	c.targetAttempt = a
 	c.active++
 	r.running[c.request] = c
@@ -134,6 +145,7 @@
 	x := &httpExchange{
 		pool: r.targets, host: r.settings.Target, request: c.request, header: own.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
+		answer: bodyReader{quota: r.parts.Answers, target: cmp.Or(expectedTarget, r.settings.Target)},
 	}
 	x.setMessage(message, c.body)
 	go r.runOnTarget(c, a, x)
@@ -145,6 +157,7 @@
 	response := responses.Get().(*fasthttp.Response) //nolint:forcetypeassert // the pool holds nothing else
 	defer responses.Put(response)
 	result := &gypsumrail.Result{Outcome: gypsumrail.Ran}
+	defer x.answer.drop()
 	err := x.do(a, response)
 	if err == nil {
 		result = r.classifyAnswer(response)
@@ -156,11 +169,12 @@
 			}
 		}
 	} else {
+		r.logGivenUp(c, x, err)
 		result = resultOf(err)
 		switch {
 		case result.Reason == gypsumrail.ReasonConnect:
 			result.Reason = gypsumrail.ReasonTargetFailed
-		case result.Reason == gypsumrail.ReasonBroken && !a.isCanceled() && r.targetEnded():
+		case result.Reason == gypsumrail.ReasonBroken && !a.isCanceled() && !isGivenUp(err) && r.targetEnded():
 			result.Reason = gypsumrail.ReasonCrashed
 		}
 		r.targets.CloseExpired()
@@ -176,7 +190,7 @@
 		r.finishAttempt(c, a, nil, &gypsumrail.Event{Kind: gypsumrail.TargetFailed, Call: c.id, Result: result})
 		return
 	}
-	r.finishAttempt(c, a, takeAnswer(response, c.isHead),
+	r.finishAttempt(c, a, x.takeAnswer(response),
 		&gypsumrail.Event{Kind: gypsumrail.TargetAnswered, Call: c.id, Result: result},
 		&gypsumrail.Event{Kind: gypsumrail.TargetDone, Call: c.id, Result: &gypsumrail.Result{Outcome: gypsumrail.Ran}})
 }
--- a/internal/node/relay/step.go
+++ b/internal/node/relay/step.go
@@ -55,6 +55,7 @@
 
 func (d *delivery) write() {
 	defer d.conn.relay.unwritten.Add(-1)
+	defer d.hold.Release()
 	d.conn.respond(d.reply)
 }
 
