Let only a second SIGINT cut a drain short

Cause: sidecar and node returned at the second signal on purpose, for operators at a terminal. Ruled out: a drain that starts anew (the reducer ignores a second DrainAsked) and the end of the target (it ends with TROUBLE=0 too, and nothing is lost).

Change: the first SIGTERM or SIGINT starts the drain and its time; further SIGTERMs are logged as event 2302; the second SIGINT ends the process.

It now asserts that a call survives SIGTERM, SIGHUP, SIGINT and SIGTERM in a drain, and that the second SIGINT ends it, with exit code 1.

--- a/internal/cmds/verbs/node.go
+++ b/internal/cmds/verbs/node.go
@@ -5,10 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 
@@ -39,7 +36,8 @@
 // Description returns the text at the top of the help output.
 func (nodeArgs) Description() string {
 	return "Runs the node beside one target. SIGTERM or SIGINT drains it: new calls are refused as not\n" +
-		"run, calls in flight are finished. A second signal ends it at once, with exit code 1."
+		"run, calls in flight are finished. Further SIGTERMs change nothing; a second SIGINT, such as\n" +
+		"Ctrl-C pressed twice, ends it at once, with exit code 1."
 }
 
 // seedsMax is the maximum number of addresses in --seeds. At its start, a node
@@ -168,35 +166,13 @@
 	return zero
 }
 
-// serveNode runs a node until it has drained. The first SIGTERM or SIGINT starts
-// the drain, the second ends the process at once.
+// serveNode runs a node until it has drained.
 func serveNode(settings build.Settings, errOut io.Writer) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
+	signals := notifySignals()
 	node, err := build.New(context.Background(), settings)
 	if err != nil {
 		fmt.Fprintf(errOut, "gypsumrail node: %v\n", err)
 		return ExitBadInput
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- node.Run(context.Background()) }()
-	draining := false
-	for {
-		select {
-		case err := <-ended:
-			if err != nil {
-				fmt.Fprintf(errOut, "gypsumrail node: %v\n", err)
-				return ExitNotMet
-			}
-			return ExitOK
-		case <-signals:
-			if draining {
-				node.LogForcedExit()
-				return ExitNotMet
-			}
-			draining = true
-			node.Drain()
-		}
-	}
+	return serveUntilDrained("node", node, signals, errOut)
 }
--- a/internal/cmds/verbs/sidecar.go
+++ b/internal/cmds/verbs/sidecar.go
@@ -5,10 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
@@ -40,7 +37,8 @@
 // Description returns the text at the top of the help output.
 func (sidecarArgs) Description() string {
 	return "Runs the node beside one target of the users' platform, for plain HTTP/1.1 requests. SIGTERM\n" +
-		"drains it: requests in flight are finished. A second SIGTERM ends it at once, with exit code 1."
+		"or SIGINT drains it: requests in flight are finished. Further SIGTERMs change nothing; a second\n" +
+		"SIGINT, such as Ctrl-C pressed twice, ends it at once, with exit code 1."
 }
 
 const (
@@ -135,39 +133,13 @@
 	return text
 }
 
-// serveSidecar runs a node until it has drained. The first SIGTERM or SIGINT
-// starts the drain, the second ends the process at once. SIGHUP is only logged.
+// serveSidecar runs a node for plain requests until it has drained.
 func serveSidecar(settings build.RelaySettings, errOut io.Writer) int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := notifySignals()
 	node, err := build.NewRelay(context.Background(), settings)
 	if err != nil {
 		fmt.Fprintf(errOut, "gypsumrail sidecar: %v\n", err)
 		return ExitBadInput
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- node.Run(context.Background()) }()
-	draining := false
-	for {
-		select {
-		case err := <-ended:
-			if err != nil {
-				fmt.Fprintf(errOut, "gypsumrail sidecar: %v\n", err)
-				return ExitNotMet
-			}
-			return ExitOK
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGHUP:
-				// All settings are flags, which a running process cannot read again.
-				node.LogNotice(relay.NoticeReloaded, "Changed=none")
-			case draining:
-				return ExitNotMet
-			default:
-				draining = true
-				node.Drain()
-			}
-		}
-	}
+	return serveUntilDrained("sidecar", node, signals, errOut)
 }
--- a/internal/lab/proc/ops_test.go
+++ b/internal/lab/proc/ops_test.go
@@ -16,7 +16,7 @@
 
 // Operators must be able to read the status and metrics of a running node. A
 // node that was stopped for a while must be used again when it continues. A
-// second SIGTERM must end a drain without waiting for calls.
+// drain must outlast further SIGTERMs, and end at an operator's second SIGINT.
 func TestOperations(t *testing.T) {
 	f := newFleet(t)
 	entry, paused := f.instanceNamed("front-a"), f.instanceNamed("deep-b")
@@ -57,8 +57,8 @@
 		return ok && okCaller && s.Node.Counts.Pauses > 0 && caller.usable() == len(f.instances)
 	})
 
-	// The targets do not answer, so a call stays in flight until the second
-	// SIGTERM.
+	// The targets do not answer, so a call stays in flight. Further SIGTERMs must not cut
+	// it off. An operator ends the process with a second SIGINT.
 	last := f.instanceNamed("front-b")
 	last.target.SetServiceTime(time.Hour)
 	entry.target.SetServiceTime(time.Hour)
@@ -73,7 +73,14 @@
 		_ = answer.Body.Close()
 		return answer.StatusCode == http.StatusServiceUnavailable
 	})
-	f.signal(last, syscall.SIGTERM)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+		f.signal(last, s)
+		time.Sleep(200 * time.Millisecond)
+		if _, ok := f.status(last); !ok {
+			t.Fatalf("%s does not answer after %v in its drain", last.name, s)
+		}
+	}
+	f.signal(last, syscall.SIGINT)
 	var exit *exec.ExitError
 	if err := f.awaitExit(last); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 		t.Errorf("%s exited with %v, want exit code 1", last.name, err)
--- a/internal/node/build/node.go
+++ b/internal/node/build/node.go
@@ -103,6 +103,9 @@
 // Drain starts a graceful shutdown, after which Run returns.
 func (n *Node) Drain() { n.shell.Drain() }
 
+// LogNotice logs an event of the process, such as a signal.
+func (n *Node) LogNotice(notice gypsumrail.Notice, detail string) { n.shell.LogNotice(notice, detail) }
+
 // LogForcedExit logs that a second signal ends the process before the drain is
 // complete.
 func (n *Node) LogForcedExit() { n.shell.LogForcedExit() }
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -188,6 +188,13 @@
 	r.log.Put(notice, r.settings.Self.Name, gypsumrail.ReasonNone, detail)
 }
 
+// LogForcedExit logs that a second signal ends the process, and returns once the log is
+// written. The command calls it just before it exits.
+func (r *Relay) LogForcedExit() {
+	r.LogNotice(shell.NoticeSecondSignal, "")
+	r.log.Close()
+}
+
 // tick gives the reducer a Tick event at the driver's intervals and closes expired
 // idle connections.
 func (r *Relay) tick() {
--- a/internal/node/shell/parts.go
+++ b/internal/node/shell/parts.go
@@ -28,7 +28,8 @@
 	NoticeRecordsFault      gypsumrail.Notice = 2106 // a part of the records in force is not usable
 	NoticeServerFault       gypsumrail.Notice = 2201 // a server or listener reported an error, or an effect is of an unsupported kind
 	NoticeForeignAnswer     gypsumrail.Notice = 2202 // a peer's answer belonged to another attempt or was malformed
-	NoticeSecondSignal      gypsumrail.Notice = 2301 // a second signal ended the process at once
+	NoticeSecondSignal      gypsumrail.Notice = 2301 // a second SIGINT ended the process at once
+	NoticeSignalIgnored     gypsumrail.Notice = 2302 // a further signal arrived during a drain, which goes on
 )
 
 // End describes a call that ended at this node.
--- a/internal/node/shell/shell.go
+++ b/internal/node/shell/shell.go
@@ -142,6 +142,11 @@
 	s.post(&gypsumrail.Event{Kind: gypsumrail.DrainAsked})
 }
 
+// LogNotice logs an event of the process, such as a signal.
+func (s *Shell) LogNotice(notice gypsumrail.Notice, detail string) {
+	s.log.Put(notice, s.settings.Self.Name, gypsumrail.ReasonNone, detail)
+}
+
 // LogForcedExit logs that a second signal ends the process, and returns once the log
 // is written. The command calls it just before it exits.
 func (s *Shell) LogForcedExit() {
