--- a/internal/node/logs/logger.go
+++ b/internal/node/logs/logger.go
@@ -11,6 +11,7 @@
 import (
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -105,7 +106,7 @@
 	fields := []any{"Notice", int(number), "Name", entry.Name}
 	for _, f := range [...]struct{ key, value string }{{"Subject", subject}, {"Reason", string(reason)}, {"Detail", detail}} {
 		if f.value != "" {
-			fields = append(fields, f.key, f.value)
+			fields = append(fields, f.key, shortened(f.value))
 		}
 	}
 	if suppressed > 0 {
@@ -114,6 +115,16 @@
 	l.logger.Log(entry.Level, entry.Message, fields...)
 }
 
+// valueBytesMax bounds a value in a line. Errors may quote whole messages of others.
+const valueBytesMax = 2 << 10
+
+func shortened(value string) string {
+	if len(value) <= valueBytesMax {
+		return value
+	}
+	return strings.ToValidUTF8(value[:valueBytesMax], "") + "..."
+}
+
 // allow reports whether a line of a number may be written now. If so, it returns
 // how many lines were dropped since the last one that was written.
 func (l *Logger) allow(number gypsumrail.Notice) (suppressed uint64, ok bool) {
--- a/internal/node/mirror/fleet_test.go
+++ b/internal/node/mirror/fleet_test.go
@@ -309,7 +309,7 @@
 		Store: path{fleet: f, from: m}, Sources: source.New(m.address, "z"), Clock: clock{f.began}, Wait: 15 * time.Second,
 		Peers:   func(address string) gypsumrail.Store { return path{f, m, f.find(address)} },
 		Contact: func(err error) { m.set(func(m *member) { m.away = err != nil }) },
-	}, Part{"", func(items []gypsumrail.Item, revision uint64) { f.received(m, items, revision) }})
+	}, Part{Receive: func(items []gypsumrail.Item, revision uint64) { f.received(m, items, revision) }})
 	go m.Run(ctx)
 }
 
--- a/internal/node/mirror/mirror.go
+++ b/internal/node/mirror/mirror.go
@@ -57,6 +57,17 @@
 type Part struct {
 	Prefix  string
 	Receive Receiver
+	// ItemBytesMax bounds the data of an item. A longer one is kept without data, so that
+	// whoever writes it does not fill the memory of all nodes. Zero means no bound.
+	ItemBytesMax int
+}
+
+// bounded returns an item as the part keeps it.
+func (p *Part) bounded(item gypsumrail.Item) gypsumrail.Item {
+	if p.ItemBytesMax > 0 && len(item.Data) > p.ItemBytesMax {
+		item.Data = nil
+	}
+	return item
 }
 
 // Receiver is called with the whole copy of a part, ordered by key, after each listing
--- a/internal/node/mirror/mirror_test.go
+++ b/internal/node/mirror/mirror_test.go
@@ -187,7 +187,7 @@
 	go func() {
 		defer close(done)
 		settings := Settings{Store: s, Clock: clock{time.Now()}, Wait: time.Second, Contact: func(error) {}}
-		New(settings, Part{"r/", receiver("r")}, Part{"s/", receiver("s")}).Run(ctx)
+		New(settings, Part{Prefix: "r/", Receive: receiver("r")}, Part{Prefix: "s/", Receive: receiver("s")}).Run(ctx)
 	}()
 	<-s.ended
 	cancel()
--- a/internal/node/mirror/serve_test.go
+++ b/internal/node/mirror/serve_test.go
@@ -123,7 +123,7 @@
 		p := newPlatform()
 		p.change("r/1", false)
 		settings := Settings{Store: busyElsewhere{p}, Clock: clock{time.Now()}, Wait: 15 * time.Second, Contact: func(error) {}}
-		go New(settings, Part{"r/", func([]gypsumrail.Item, uint64) {}}).Run(ctx)
+		go New(settings, Part{Prefix: "r/", Receive: func([]gypsumrail.Item, uint64) {}}).Run(ctx)
 		time.Sleep(30 * time.Second)
 		if calls := p.callCount(); calls > 10 {
 			t.Errorf("30 s without a change of the part cost %d calls", calls)
--- a/internal/node/quota/quota.go
+++ b/internal/node/quota/quota.go
@@ -67,6 +67,7 @@
 type Verdict int
 
 const (
+	// Granted means that the bytes are reserved.
 	Granted Verdict = iota
 	// Wait means that complete answers take most of the memory. The caller should ask
 	// again when the channel that comes with the verdict is closed.
--- a/internal/node/relay/answers_test.go
+++ b/internal/node/relay/answers_test.go
@@ -71,7 +71,7 @@
 	for _, framing := range []string{"length", "chunks", "end"} {
 		entry, _, _ := deployment(t, func(conn net.Conn, r *http.Request, _ string) {
 			var size int
-			fmt.Sscanf(r.URL.Path, "/read/%d", &size) //nolint:errcheck // the test's own path
+			fmt.Sscanf(r.URL.Path, "/read/%d", &size)
 			body := pattern(size)
 			switch framing {
 			case "length":
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -21,6 +21,9 @@
 // see package mirror.
 const watchWaitMax = 15 * time.Second
 
+// instanceBytesMax bounds the entry of an instance, which has some hundred bytes.
+const instanceBytesMax = 4 << 10
+
 // newFollower returns the follower of the records and the instances in the platform's
 // store, which reads them there or from a peer.
 func (r *Relay) newFollower() *mirror.Follower {
@@ -31,7 +34,7 @@
 			Clock: r.parts.Clock, Wait: watchWaitMax, Contact: r.onPlatform,
 		},
 		mirror.Part{Prefix: catalog.RecordsKey(), Receive: r.onRecords},
-		mirror.Part{Prefix: catalog.InstancesPrefix(), Receive: r.newInstancesHandler()},
+		mirror.Part{Prefix: catalog.InstancesPrefix(), Receive: r.newInstancesHandler(), ItemBytesMax: instanceBytesMax},
 	)
 }
 
