Let TestSlowReadersOfLongAnswers order its answers by what the node holds

The test was wrong: it sent four answers 20 ms apart and took for granted that each was complete before the next began. It now waits until the node holds two complete answers, then until the next two have taken what is left of the bound and wait, then lets the callers read. As strict as before: without the waiting (Reserve never returns Wait) it fails.

--- a/internal/node/relay/answers_test.go
+++ b/internal/node/relay/answers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -64,6 +65,33 @@
 	t.Errorf("after the last answer the node still holds\n%s", held)
 }
 
+// awaitHeld waits until the answers in a state take this many bytes of a node's memory.
+func awaitHeld(t *testing.T, s *sidecar, state string, bytes int) {
+	t.Helper()
+	var held string
+	for range 1000 {
+		sum := 0
+		held = answerBytesHeld(t, s)
+		for line := range strings.Lines(held) {
+			if _, value, ok := strings.Cut(line, `state="`+state+`"} `); ok {
+				n, err := strconv.Atoi(strings.TrimSpace(value))
+				if err != nil {
+					t.Fatal(err)
+				}
+				sum += n
+			}
+		}
+		if sum >= bytes {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("the node does not hold %d bytes in the state %s, but\n%s", bytes, state, held)
+}
+
+// longWait is the time that a client states where the test is not about time.
+const longWait = "20000"
+
 // Guards against answers that reach the caller changed or cut, at the sizes where the
 // blocks that hold a body grow, begin to count or end.
 func TestAnswerFramings(t *testing.T) {
@@ -169,9 +197,16 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	for n := range 50 {
-		answer, body := sendRequest(t, entry, http.MethodGet, "/own/1", fmt.Sprintf("s%d", n), "")
-		if answer.StatusCode != http.StatusOK || body != string(short) {
-			t.Errorf("a neighbor's answer: status %d, %d bytes", answer.StatusCode, len(body))
+		r := newRequest(t, entry, http.MethodGet, "/own/1", fmt.Sprintf("s%d", n), "")
+		r.Header.Set("X-Left", longWait)
+		answer, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if answer.StatusCode != http.StatusOK || err != nil || !bytes.Equal(body, short) {
+			t.Errorf("a neighbor's answer: status %d, %d bytes, %v", answer.StatusCode, len(body), err)
 		}
 	}
 	close(stop)
@@ -180,32 +215,42 @@
 }
 
 // Guards against complete answers that are given up, and others that fail beside them,
-// because callers read slowly: what they hold is short of the bound's other half only for
-// as long as they read.
+// because callers read slowly: the others have to wait instead.
 func TestSlowReadersOfLongAnswers(t *testing.T) {
-	body := pattern(12 << 20)
+	body := pattern(14 << 20) // two fit into the bound beside each other, three do not
 	entry, targets, _ := deployment(t, writeEcho)
 	targets[0].mu.Lock()
 	targets[0].answer = func(conn net.Conn, r *http.Request, _ string) { writeLong(conn, r, body) }
 	targets[0].mu.Unlock()
+	read := make(chan struct{})
 	var work sync.WaitGroup
-	for i := range 4 {
-		time.Sleep(20 * time.Millisecond)
+	get := func(i int) {
+		r := newRequest(t, entry, http.MethodGet, "/own/1", fmt.Sprintf("slow%d", i), "")
+		r.Header.Set("X-Left", longWait)
 		work.Go(func() {
-			r := newRequest(t, entry, http.MethodGet, "/own/1", fmt.Sprintf("slow%d", i), "")
 			answer, err := http.DefaultClient.Do(r)
 			if err != nil {
 				t.Error(err)
 				return
 			}
 			defer func() { _ = answer.Body.Close() }()
-			time.Sleep(400 * time.Millisecond)
+			<-read
 			got, err := io.ReadAll(answer.Body)
 			if answer.StatusCode != http.StatusOK || err != nil || !bytes.Equal(got, body) {
 				t.Errorf("answer %d: status %d, %d bytes, %v", i, answer.StatusCode, len(got), err)
 			}
 		})
 	}
+	// Unfinished answers that take more than half of the bound would compete.
+	for i := range 2 {
+		get(i)
+		awaitHeld(t, entry, "ready", (i+1)*len(body))
+	}
+	get(2)
+	get(3)
+	awaitHeld(t, entry, "reading", memoryMax/5-2*len(body)-128<<10) // less than a block each is left
+	time.Sleep(100 * time.Millisecond)                              // for a node that gives up one of them
+	close(read)
 	work.Wait()
 	awaitNothingHeld(t, entry)
 }
