Show that a withdrawn key is admitted after a restore of the store

All nodes are killed while the store is away, and it comes back from a copy that is older than the withdrawal.

--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -31,21 +32,59 @@
 	history  []item
 	changed  chan struct{}
 	server   *http.Server
+	era      int    // 0: not stated
+	floor    uint64 // changes up to it are not in the history
+}
+
+// snapshot is a copy of the store's content.
+type snapshot struct {
+	revision uint64
+	items    map[string]item
 }
 
 func newStore(address string) (*store, error) {
 	s := &store{address: address, revision: 10, items: map[string]item{}, changed: make(chan struct{})}
-	listener, err := net.Listen("tcp", address)
+	return s, s.serve()
+}
+
+func (s *store) serve() error {
+	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.key)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
 	mux.HandleFunc("GET /v1/kv-watch", s.watch)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		era := s.era
+		s.mu.Unlock()
+		if era > 0 {
+			w.Header().Set("Store-Era", strconv.Itoa(era))
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = s.server.Serve(listener) }()
-	return s, nil
+	return nil
+}
+
+// leave closes the port and all connections.
+func (s *store) leave() { _ = s.server.Close() }
+
+func (s *store) copy() snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return snapshot{s.revision, maps.Clone(s.items)}
+}
+
+// comeBack serves an older copy, in the next era.
+func (s *store) comeBack(from snapshot) error {
+	s.mu.Lock()
+	s.era++
+	s.revision, s.items, s.history, s.floor = from.revision, maps.Clone(from.items), nil, from.revision
+	s.mu.Unlock()
+	return s.serve()
 }
 
 func (s *store) put(key string, value any) {
@@ -127,6 +166,11 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if after < s.floor || after > s.revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, change := range s.history {
 			if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
