--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -70,18 +69,6 @@
 	return &client{conn, bufio.NewReader(conn), log, host}, nil
 }
 
-// dialSlow is dial with a small receive buffer, as on a slow link.
-func dialSlow(log *record, address, host string) (*client, error) {
-	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 32<<10) })
-	}}
-	conn, err := dialer.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &client{conn, bufio.NewReader(conn), log, host}, nil
-}
-
 // send writes a request.
 func (c *client) send(method, uri, id string, deadline time.Duration, extra, body string) (outcome, error) {
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s", method, uri, c.host, id, deadline.Milliseconds(), extra)
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -104,17 +104,6 @@
 	s.note(s.items[key])
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; !ok {
-		return
-	}
-	s.revision++
-	delete(s.items, key)
-	s.note(item{Key: key, Revision: s.revision, IsDeleted: true})
-}
-
 func (s *store) note(change item) {
 	s.history = append(s.history, change)
 	close(s.changed)
--- a/review/stand2/upstream.go
+++ b/review/stand2/upstream.go
@@ -16,9 +16,10 @@
 
 // run is one request that an upstream began to work on.
 type run struct {
-	upstream, id, method, uri, body string
-	header                          http.Header
-	at                              time.Time
+	upstream, id, method, uri string
+	bodyBytes                 int
+	header                    http.Header
+	at                        time.Time
 }
 
 // upstream stands in for an application server. A request says in its query how long the
@@ -30,14 +31,11 @@
 
 	mu       sync.Mutex
 	runs     []run
-	aborted  map[string]time.Duration // requests whose connection closed during the work, and how far it was
-	listener net.Listener
-	conns    map[net.Conn]bool
 	sequence atomic.Int64
 }
 
 func newUpstream(log *record, name, service, address string) (*upstream, error) {
-	u := &upstream{name: name, service: service, address: address, log: log, aborted: map[string]time.Duration{}, conns: map[net.Conn]bool{}}
+	u := &upstream{name: name, service: service, address: address, log: log}
 	return u, u.listen()
 }
 
@@ -46,41 +44,20 @@
 	if err != nil {
 		return err
 	}
-	u.listener = listener
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			u.mu.Lock()
-			u.conns[conn] = true
-			u.mu.Unlock()
 			go u.serve(conn)
 		}
 	}()
 	return nil
 }
 
-// crash closes the port and all connections, as the end of the process does.
-func (u *upstream) crash() {
-	_ = u.listener.Close()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for conn := range u.conns {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}
-	u.conns = map[net.Conn]bool{}
-}
-
 func (u *upstream) serve(conn net.Conn) {
-	defer func() {
-		_ = conn.Close()
-		u.mu.Lock()
-		delete(u.conns, conn)
-		u.mu.Unlock()
-	}()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -99,7 +76,7 @@
 			continue
 		}
 		u.mu.Lock()
-		u.runs = append(u.runs, run{u.name, id, request.Method, request.RequestURI, string(body), request.Header, time.Now()})
+		u.runs = append(u.runs, run{u.name, id, request.Method, request.RequestURI, len(body), request.Header, time.Now()})
 		u.mu.Unlock()
 		u.log.put("run", id, "at %s: %s %s, %d bytes of body", u.name, request.Method, request.RequestURI, len(body))
 		if u.answer != nil {
@@ -140,9 +117,6 @@
 		if _, err := reader.Peek(1); err != nil {
 			if e, ok := err.(net.Error); !ok || !e.Timeout() {
 				id := request.Header.Get("Request-Id")
-				u.mu.Lock()
-				u.aborted[id] = time.Since(began)
-				u.mu.Unlock()
 				u.log.put("cut", id, "the node closed the connection to %s %d ms into %d ms of work", u.name, time.Since(began).Milliseconds(), ms)
 				return false
 			}
