Keep case 6 within the links of its site, and count both cases anew

The uploads of its first form exceeded the bandwidth of the machines. One client at the machine itself is enough, at that bandwidth and with smaller documents. The stand-ins write heartbeats, take the environment from the deploy file and keep Retry-After.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the second review start, as target/stand2.
-set -e
+# Builds the stand-ins that the scripts of the second review start, as target/stand2. They
+# use the standard library only.
+set -eu
 cd "$(dirname "$0")/stand2"
-go build -o ../../target/stand2 .
+GOFLAGS=-buildvcs=false GOWORK=off GOPROXY=off go build -o ../../target/stand2 .
--- a/review/stand2/uploads.go
+++ b/review/stand2/uploads.go
@@ -17,9 +17,9 @@
 
 const (
 	memoryMb      = 184
-	uploadBytes   = 60 << 20 // maxBodyBytes is 64 MiB
-	uploaders     = 1        // at each of two machines
-	endlessShare  = 0.3      // of the answers of one of two upstreams
+	uploadBytes   = 40 << 20 // maxBodyBytes is 64 MiB
+	uploadRate    = 25e6     // bytes a second: linkMbps is 200
+	endlessShare  = 0.1      // of the answers of one of two upstreams to reads
 	endlessRate   = 2.5e6    // bytes a second
 	troubleAt     = 3 * time.Second
 	troubleTime   = 5500 * time.Millisecond
@@ -29,21 +29,23 @@
 )
 
 // uploadsCase lets one of two upstreams for documents send a tenth of its answers without end,
-// while clients upload documents and customers pay, at a sound upstream, on kept connections.
+// while one client at its machine uploads documents and customers there pay, at a sound
+// upstream, on kept connections.
 func uploadsCase(f *fleet, trouble bool) (int, error) {
-	f.memory = memoryMb
 	f.configure(7, nil, "search", "documents", "fees")
 	for i, service := range []string{"search", "search", "documents", "documents", "fees"} {
 		if _, err := f.add(fmt.Sprintf("side-%d", i+1), service, []string{"zone-a", "zone-b", "zone-a", "zone-b", "zone-c"}[i]); err != nil {
 			return failed, err
 		}
 	}
-	senders, sick, sound := f.machines[:2], f.machines[2], f.machines[4]
-	began := time.Now()
+	readers, sick, sound := f.machines[:2], f.machines[2], f.machines[4]
+	var began time.Time
+	started := make(chan struct{})
 	if trouble {
 		sick.upstream.answer = func(u *upstream, c net.Conn, r *http.Request, _ []byte) bool {
 			ms, _ := strconv.Atoi(r.URL.Query().Get("work"))
 			time.Sleep(time.Duration(ms) * time.Millisecond)
+			<-started
 			if since := time.Since(began); r.Method != http.MethodGet || since < troubleAt || since > troubleAt+troubleTime || rand.Float64() > endlessShare {
 				return u.respond(c, r)
 			}
@@ -54,16 +56,16 @@
 		return failed, err
 	}
 	began = time.Now()
+	close(started)
 	stop := make(chan struct{})
 	var watch, work sync.WaitGroup
 	kills := make(map[*machine][]time.Time)
 	peaks := make(map[*machine]int)
+	watch.Go(func() { f.heartbeats(stop) })
 	watch.Go(func() { f.limitMemory(stop, kills, peaks) })
-	for i, m := range senders {
-		for j := range uploaders {
-			work.Go(func() { upload(f.log, m, fmt.Sprintf("upload-%d-%d", i, j), began) })
-		}
-		for j := range 18 { // 90 checks a second at each machine
+	work.Go(func() { upload(f.log, sick, "upload", began) })
+	for i, m := range readers {
+		for j := range 18 { // 90 reads a second at each machine
 			work.Go(func() { check(f.log, m, fmt.Sprintf("check-%d-%d", i, j), began) })
 		}
 	}
@@ -148,7 +150,7 @@
 	return kb
 }
 
-// upload sends one document after the other.
+// upload sends one document after the other, each at uploadRate.
 func upload(log *record, m *machine, name string, began time.Time) {
 	block := make([]byte, 64<<10)
 	for n := 0; time.Since(began) < uploadsLength; n++ {
@@ -159,18 +161,24 @@
 		}
 		id := fmt.Sprintf("%s-%d", name, n)
 		_, err = fmt.Fprintf(c, "POST /documents-once/statute?work=160 HTTP/1.1\r\nHost: mesh.example\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n", id, uploadBytes)
+		start := time.Now()
 		for sent := 0; sent < uploadBytes && err == nil; sent += len(block) {
 			_, err = c.Write(block)
+			time.Sleep(time.Until(start.Add(time.Duration(float64(sent) / uploadRate * float64(time.Second)))))
 		}
 		log.put("sent", id, "an upload of %d bytes, %v", uploadBytes, err)
-		o := c.await(outcome{id: id, sent: time.Now()}, "POST", time.Now().Add(5*time.Second))
+		o := c.await(outcome{id: id, sent: time.Now()}, "POST", time.Now().Add(4*time.Second))
 		_ = c.Close()
-		if o.status != http.StatusOK {
-			time.Sleep(300 * time.Millisecond) // as Retry-After says, or before a new connection
-		}
+		time.Sleep(retryAfter(o))
 	}
 }
 
+// retryAfter returns how long a client is told to wait.
+func retryAfter(o outcome) time.Duration {
+	seconds, _ := strconv.ParseFloat(o.header.Get("Retry-After"), 64)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // check reads the state of a document five times a second.
 func check(log *record, m *machine, name string, began time.Time) {
 	var c *client
@@ -191,14 +199,15 @@
 			_ = c.Close()
 			c = nil
 		}
-		time.Sleep(time.Until(next))
+		time.Sleep(max(time.Until(next), retryAfter(o)))
 	}
 }
 
-// pay sends one payment after the other and returns those whose connection ended without an
-// answer.
+// pay sends one payment after the other and returns those on kept connections, which had
+// carried another payment, whose connection ended without an answer.
 func pay(log *record, m *machine, name string, began time.Time) (lost []outcome) {
 	var c *client
+	carried := 0
 	for n := 0; time.Since(began) < uploadsLength; n++ {
 		if c == nil {
 			var err error
@@ -206,17 +215,21 @@
 				time.Sleep(100 * time.Millisecond)
 				continue
 			}
+			carried = 0
 		}
 		o, err := c.send("POST", "/fees-once/payment?work=500", fmt.Sprintf("%s-%d", name, n), 2*time.Second, "", "one")
 		if err == nil {
-			if o = c.await(o, "POST", o.sent.Add(3*time.Second)); !o.whole && o.problem != nil && !isTimeout(o.problem) && n > 0 {
-				lost = append(lost, o) // on a connection that had carried another payment
+			o = c.await(o, "POST", o.sent.Add(3*time.Second))
+			if !o.whole && !isTimeout(o.problem) && carried > 0 {
+				lost = append(lost, o)
 			}
 		}
+		carried++
 		if err != nil || !o.whole || o.last {
 			_ = c.Close()
 			c = nil
 		}
+		time.Sleep(retryAfter(o))
 	}
 	return lost
 }
