Count and log each answer that is refused for its form

Operators of clients that got 502 saw event 2405 only for answers of the own target, and nothing for answers of other nodes, for control messages, or for the second and further failed reads of the store. No counter told how many answers were refused, or for what.

Package status becomes form, which names the faults of answers (StatusLine, Interims, Head, Body, Truncated, Identity, Proof, NodeHeader). The error of reading an answer wraps one, so every hop reports it the same way: event 2203 with hop, side and fault, and the metric gypsumrail_malformed_answers_total. A connection that ended before a head, and an answer that this node itself broke off, are no faults of the answer.

No answer is refused that was passed on before, and none passed on that was refused. Tests: relay TestFaultsAreReported (target and peer), TestFaultsOfStoreAreReported; client TestNoStatusLine also checks the observer. They failed to build before, as there was neither event nor metric; TestFaultsOfStoreAreReported found the text of the error in place of the fault as a label.

--- a/internal/lab/trial/node.go
+++ b/internal/lab/trial/node.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumrail/gypsumrail/core"
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/client"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/setup"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 	"github.com/gypsumrail/gypsumrail/record"
@@ -93,6 +94,7 @@
 
 func (noMeter) RecordCall(shell.End)                           {}
 func (noMeter) RecordStep(gypsumrail.EventKind, time.Duration) {}
+func (noMeter) RecordFault(shell.Hop, form.Fault)              {}
 
 // start starts a new incarnation of an instance's node.
 func (i *Instance) start(platform string, seeds []string, dial client.Dial) error {
--- a/internal/node/client/status_test.go
+++ b/internal/node/client/form_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"github.com/gypsumrail/gypsumrail/internal/node/status"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 )
 
 // Guards against a first line that is no status line and counts as a response of a target, of
@@ -18,6 +17,13 @@
 func TestNoStatusLine(t *testing.T) {
 	pool := NewPool()
 	defer pool.Close()
+	refused := 0
+	observer := func(_ string, err error) {
+		if isStatusLineFault(err) {
+			refused++
+		}
+	}
+	pool.Observe(observer)
 	for _, test := range []struct {
 		head string
 		good bool
@@ -47,7 +53,7 @@
 				_ = conn.Close()
 			}
 		}()
-		for name, transport := range map[string]http.RoundTripper{"pooled": pool, "unpooled": NewUnpooled()} {
+		for name, transport := range map[string]http.RoundTripper{"pooled": pool, "unpooled": NewUnpooled(observer)} {
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
 				r, err := http.NewRequestWithContext(t.Context(), method, "http://"+listener.Addr().String(), io.NopCloser(strings.NewReader("x")))
 				if err != nil {
@@ -64,7 +70,15 @@
 		}
 		_ = listener.Close()
 	}
-	if !errors.Is(status.Check(&http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}), status.ErrNoResponse) {
+	if refused == 0 {
+		t.Error("the observer was not told")
+	}
+	if !isStatusLineFault(form.Check(&http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1})) {
 		t.Error("a response without a status passes")
 	}
 }
+
+func isStatusLineFault(err error) bool {
+	fault, _ := form.FaultOf(err)
+	return fault == form.StatusLine
+}
--- a/internal/node/client/transport.go
+++ b/internal/node/client/transport.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gypsumrail/gypsumrail/internal/node/status"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
@@ -49,8 +49,13 @@
 	mu           sync.Mutex
 	connsPerHost int
 	current      atomic.Pointer[http.Transport]
+	observer     atomic.Pointer[Observer]
 }
 
+// Observer is told of each answer of an address that was refused for its form. It must not
+// block, and is called concurrently.
+type Observer func(address string, err error)
+
 // Dial opens a connection. It must return within about a second, as the default
 // one does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -93,37 +98,56 @@
 // Close closes the idle connections.
 func (p *Pool) Close() { p.current.Load().CloseIdleConnections() }
 
-// RoundTrip sends a request over a pooled connection. The error wraps status.ErrNoResponse if
-// the other side sent something else than a response.
+// Observe sets the observer of the answers to further requests.
+func (p *Pool) Observe(observer Observer) { p.observer.Store(&observer) }
+
+// RoundTrip sends a request over a pooled connection. The error wraps a *form.Error if the other
+// side sent something else than a response.
 func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) {
-	return checked{p.current.Load()}.RoundTrip(r)
+	c := checked{next: p.current.Load()}
+	if observer := p.observer.Load(); observer != nil {
+		c.observer = *observer
+	}
+	return c.RoundTrip(r)
 }
 
 // checked is a transport that returns only responses.
-type checked struct{ next http.RoundTripper }
+type checked struct {
+	next     http.RoundTripper
+	observer Observer // nil for none
+}
 
 func (c checked) RoundTrip(r *http.Request) (*http.Response, error) {
 	answer, err := c.next.RoundTrip(r)
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
-	if err := status.Check(answer); err != nil {
+	if err := form.Check(answer); err != nil {
 		_ = answer.Body.Close()
-		return nil, fmt.Errorf("client: %w", err)
+		return nil, c.refuse(r, err)
 	}
 	return answer, nil
 }
 
+// refuse tells the observer of an answer that is refused, and returns the error to return.
+func (c checked) refuse(r *http.Request, err error) error {
+	if c.observer != nil {
+		c.observer(r.URL.Host, err)
+	}
+	return fmt.Errorf("client: %w", err)
+}
+
 // NewUnpooled returns a transport that opens a new connection for each request.
-func NewUnpooled() http.RoundTripper { return NewUnpooledWithDial(nil) }
+// The observer may be nil.
+func NewUnpooled(observer Observer) http.RoundTripper { return NewUnpooledWithDial(nil, observer) }
 
 // NewUnpooledWithDial is like NewUnpooled, but opens connections with the given
 // function. With nil it uses the default one.
-func NewUnpooledWithDial(via Dial) http.RoundTripper {
+func NewUnpooledWithDial(via Dial, observer Observer) http.RoundTripper {
 	if via == nil {
 		via = DialWithin(dialTimeout)
 	}
-	return checked{newTransport(via, connsPerHostDefault, true)}
+	return checked{newTransport(via, connsPerHostDefault, true), observer}
 }
 
 func newTransport(via Dial, perHost int, unpooled bool) *http.Transport {
--- a/internal/node/status/status.go
+++ b/internal/node/form/line.go
@@ -1,13 +1,6 @@
-// Package status decides what counts as an HTTP response: one rule for the answers of targets,
-// for those of other nodes, for control messages and for the platform's store.
-//
-// A target in trouble may send a first line such as "HTTP/1.1 000". HTTP libraries accept many
-// of these, and some read the status 0 as 200. What is no response is treated as a broken
-// connection: the request may have run.
-package status
+package form
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 )
@@ -24,18 +17,12 @@
 	finalMax   = 599
 )
 
-// Errors of a head that is no response.
-var (
-	ErrNoResponse = errors.New("the first line is no status line of a response")
-	ErrInterims   = errors.New("too many interim responses")
-)
-
 // lineBytes is the length of a status line up to the end of the status.
 const lineBytes = len("HTTP/1.1 200")
 
 // Line reads the status from the first bytes of a head: "HTTP/1.0" or "HTTP/1.1", a space,
 // three digits, and a space or the end of the line. The status is 0 if more bytes are needed
-// to tell. The error is ErrNoResponse.
+// to tell. The error has the fault StatusLine.
 func Line(head []byte) (int, error) {
 	const form = "HTTP/1.v ddd"
 	code := 0
@@ -51,14 +38,14 @@
 			ok = c == form[i]
 		}
 		if !ok {
-			return 0, ErrNoResponse
+			return 0, New(StatusLine, nil)
 		}
 	}
 	if len(head) < lineBytes {
 		return 0, nil
 	}
 	if code < interimMin || code > finalMax || code == http.StatusSwitchingProtocols {
-		return 0, ErrNoResponse
+		return 0, New(StatusLine, nil)
 	}
 	end := head[lineBytes:]
 	switch {
@@ -67,18 +54,17 @@
 	case end[0] == ' ' || end[0] == '\n' || end[0] == '\r' && end[1] == '\n':
 		return code, nil
 	}
-	return 0, ErrNoResponse
+	return 0, New(StatusLine, nil)
 }
 
 // IsInterim reports whether the status of a line is that of an interim response.
 func IsInterim(code int) bool { return code < finalMin }
 
-// Check returns an error that wraps ErrNoResponse if a head that net/http has read is no
-// response. That package requires three characters and a number, and skips interim responses.
+// Check returns an error with the fault StatusLine if a head that net/http has read is no response. That package requires three characters and a number, and skips interim responses.
 func Check(response *http.Response) error {
 	known := response.ProtoMajor == 1 && (response.ProtoMinor == 0 || response.ProtoMinor == 1)
 	if known && response.StatusCode >= finalMin && response.StatusCode <= finalMax {
 		return nil
 	}
-	return fmt.Errorf("%w: %.16q with status %.16q", ErrNoResponse, response.Proto, response.Status)
+	return New(StatusLine, fmt.Errorf("%.16q with status %.16q", response.Proto, response.Status))
 }
--- a/internal/node/status/status_test.go
+++ b/internal/node/form/line_test.go
@@ -1,4 +1,4 @@
-package status
+package form
 
 import (
 	"regexp"
--- a/internal/node/logs/logger.go
+++ b/internal/node/logs/logger.go
@@ -40,7 +40,7 @@
 // of package relay.
 var individual = []gypsumrail.Notice{
 	gypsumrail.NoticeRevisionAdopted, gypsumrail.NoticeUpstreamLost, gypsumrail.NoticeUpstreamBack,
-	gypsumrail.NoticeZoneLeft, gypsumrail.NoticeZoneKept, 2401, 2402, 2403, 2404, 2405, 2408,
+	gypsumrail.NoticeZoneLeft, gypsumrail.NoticeZoneKept, 2203, 2401, 2402, 2403, 2404, 2405, 2408,
 }
 
 // Settings of a Logger.
--- a/internal/node/meter/meter.go
+++ b/internal/node/meter/meter.go
@@ -9,6 +9,7 @@
 package meter
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
 
@@ -152,6 +154,11 @@
 	m.stepSeconds[partOf(kind)].Add(took.Seconds())
 }
 
+// RecordFault counts an answer that was refused for its form.
+func (m *Meter) RecordFault(hop shell.Hop, fault form.Fault) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("gypsumrail_malformed_answers_total{hop=%q,fault=%q}", string(hop), string(fault))).Inc()
+}
+
 // counter returns the counter of a key and creates it if needed. At seriesMax it
 // returns the counter whose service and class are "other".
 func (m *Meter) counter(key callKey) *metrics.Counter {
--- a/internal/node/relay/accounts_test.go
+++ b/internal/node/relay/accounts_test.go
@@ -396,7 +396,7 @@
 	}
 	pool := nodeclient.NewPool()
 	defer pool.Close()
-	control := peer.NewClient(pool, nodeclient.NewUnpooled())
+	control := peer.NewClient(pool, nodeclient.NewUnpooled(nil))
 	for _, n := range []*sidecar{s.a, s.b} {
 		seen["status of "+n.name], seen["metrics of "+n.name] = n.admin(t, "/status"), n.admin(t, "/metrics")
 		ip, _, _ := net.SplitHostPort(n.ports.Peers)
--- a/internal/node/relay/answers_test.go
+++ b/internal/node/relay/answers_test.go
@@ -34,22 +34,7 @@
 // answerBytesHeld returns the lines of a node's metrics for answers that it holds.
 func answerBytesHeld(t *testing.T, s *sidecar) string {
 	t.Helper()
-	answer, err := http.Get("http://" + s.ports.Admin + "/metrics") //nolint:noctx // loopback
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var held []string
-	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "gypsumrail_answer_bytes{") {
-			held = append(held, line)
-		}
-	}
-	return strings.Join(held, "")
+	return metricLines(t, s, "gypsumrail_answer_bytes{")
 }
 
 // awaitNothingHeld fails the test if a node goes on holding bytes of answers.
--- a/internal/node/relay/body.go
+++ b/internal/node/relay/body.go
@@ -12,9 +12,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
 	"github.com/gypsumrail/gypsumrail/internal/node/quota"
-	"github.com/gypsumrail/gypsumrail/internal/node/status"
 )
 
 const (
@@ -81,21 +81,31 @@
 }
 
 func (b *bodyReader) readAnswer(conn *pool.Conn, response *fasthttp.Response, isHead bool) error {
+	if err := readHead(conn, response); err != nil {
+		return faultOfHead(err)
+	}
+	if isHead || !hasBody(response.StatusCode()) {
+		return nil
+	}
+	return faultOfBody(b.readBody(conn, response))
+}
+
+// readHead reads the head of an answer, and skips interim responses before it.
+func readHead(conn *pool.Conn, response *fasthttp.Response) error {
 	if err := skipInterims(conn.Reader, response); err != nil {
 		return err
 	}
 	response.Reset()
 	response.SkipBody = true
-	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
-		return err //nolint:wrapcheck // resultOf classifies it
-	}
-	if isHead || !hasBody(response.StatusCode()) {
-		return nil
-	}
+	return response.ReadLimitBody(conn.Reader, 0) //nolint:wrapcheck // faultOfHead classifies it
+}
+
+// readBody reads the body of an answer, and its trailer if it is chunked.
+func (b *bodyReader) readBody(conn *pool.Conn, response *fasthttp.Response) error {
 	length := response.Header.ContentLength()
 	response.SkipBody, response.StreamBody = false, true
 	if err := response.ReadBody(conn.Reader, 0); err != nil {
-		return err //nolint:wrapcheck // resultOf classifies it
+		return err //nolint:wrapcheck // faultOfBody classifies it
 	}
 	defer func() { _ = response.CloseBodyStream() }()
 	stream := response.BodyStream()
@@ -117,20 +127,20 @@
 // response without reading it. It must be checked before the library reads it, whose type for
 // a head takes the status 0 for 200.
 func skipInterims(reader *bufio.Reader, response *fasthttp.Response) error {
-	for range status.InterimMax + 1 {
+	for range form.InterimMax + 1 {
 		code, err := peekStatus(reader)
 		if err != nil {
 			return err
 		}
-		if !status.IsInterim(code) {
+		if !form.IsInterim(code) {
 			return nil
 		}
 		response.Reset()
 		if err := response.Header.Read(reader); err != nil {
-			return err //nolint:wrapcheck // resultOf classifies it
+			return err //nolint:wrapcheck // faultOfHead classifies it
 		}
 	}
-	return status.ErrInterims
+	return form.New(form.Interims, nil)
 }
 
 // peekStatus returns the status in the first line of a head. It reads no more than has arrived
@@ -139,9 +149,9 @@
 	for n := 1; ; {
 		head, err := reader.Peek(max(n, reader.Buffered()))
 		if err != nil {
-			return 0, err //nolint:wrapcheck // resultOf classifies it
+			return 0, err //nolint:wrapcheck // faultOfHead classifies it
 		}
-		if code, err := status.Line(head); code > 0 || err != nil {
+		if code, err := form.Line(head); code > 0 || err != nil {
 			return code, err //nolint:wrapcheck // it says what is wrong
 		}
 		n = len(head) + 1
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
 )
 
@@ -31,14 +32,8 @@
 	mismatchedAnswersMax = 2
 )
 
-// Errors of an HTTP exchange.
-var (
-	// errNotSent means that no byte of the request was sent, so it cannot run.
-	errNotSent = errors.New("no byte of the request was sent")
-	// errMismatchedAnswer means that more than mismatchedAnswersMax answers had the
-	// identity of another request.
-	errMismatchedAnswer = errors.New("all answers read belong to other requests")
-)
+// errNotSent means that no byte of the request was sent, so it cannot run.
+var errNotSent = errors.New("no byte of the request was sent")
 
 var responses = sync.Pool{New: func() any { return new(fasthttp.Response) }}
 
@@ -168,7 +163,7 @@
 			return mismatched, nil
 		}
 		if mismatched == mismatchedAnswersMax {
-			return mismatched, errMismatchedAnswer
+			return mismatched, form.New(form.Identity, nil)
 		}
 	}
 }
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -97,6 +97,7 @@
 	values         *fetch.Store
 	follower       *mirror.Follower
 	log            *events.Log
+	faults         shell.Faults
 	controlSlots   chan struct{} // one element for each control message being sent
 	records        atomic.Pointer[gypsumrail.Records]
 	instances      atomic.Pointer[instanceList]
@@ -143,7 +144,9 @@
 	r.conns.open = make(map[*conn]struct{})
 	r.log = events.NewLog(parts.Logger, shell.NoticeLinesDropped)
 	r.controlPool.SetConns(controlConnsPerPeer)
-	r.control = peer.NewClient(r.controlPool, client.NewUnpooled())
+	r.faults = shell.Faults{Log: r.log, Meter: parts.Meter}
+	r.controlPool.Observe(r.faults.Observer(shell.HopControl))
+	r.control = peer.NewClient(r.controlPool, client.NewUnpooled(r.faults.Observer(shell.HopControl)))
 	r.follower = r.newFollower()
 	r.loop = loop.New(parts.Reducer, parts.Clock, r.perform, parts.Meter.RecordStep)
 	return r
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -221,6 +221,7 @@
 	name  string
 	ports relay.Addresses
 	node  *build.Relay
+	log   logBuffer
 	ended chan struct{}
 }
 
@@ -263,7 +264,7 @@
 	node, err := build.NewRelay(t.Context(), build.RelaySettings{
 		Settings: build.Settings{
 			Self:   gypsumrail.Instance{Name: name, Service: service, Zone: "z", Address: s.ports.Peers},
-			Target: targetAddress, Log: io.Discard, LogLevel: log.InfoLevel,
+			Target: targetAddress, Log: &s.log, LogLevel: log.InfoLevel,
 		},
 		Ports: s.ports, Headers: headers, Store: platform, Catalog: catalog{}, RetryShare: 0.1, RetryBurst: 10,
 		DrainMin: 100, DrainMax: 3000, Memory: memoryMax,
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -11,7 +11,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/pool"
+	"github.com/gypsumrail/gypsumrail/internal/node/shell"
 )
 
 // forward performs the Forward effect: it starts sending an attempt to another node.
@@ -59,7 +61,9 @@
 	if err == nil {
 		var result gypsumrail.Result
 		var theirs revisions
-		if result, theirs, err = parseAnswer(&response.Header); err == nil {
+		if result, theirs, err = parseAnswer(&response.Header); err != nil {
+			err = form.New(form.NodeHeader, err)
+		} else {
 			event.Kind, event.Result = gypsumrail.AttemptAnswered, &result
 			r.checkPeerRevisions(theirs, to.Address)
 			if result.Outcome == gypsumrail.Ran && result.Reason == gypsumrail.ReasonNone {
@@ -71,6 +75,7 @@
 	}
 	if err != nil {
 		r.logGivenUp(c, x, err)
+		r.reportFault(shell.HopPeer, c, a, x, err)
 		event.Result = resultOf(err)
 		if event.Result.Reason == gypsumrail.ReasonSilent || errors.Is(err, pool.ErrConnect) {
 			r.peers.CloseIdle(to.Address)
@@ -168,7 +173,9 @@
 	defer x.answer.drop()
 	err := x.do(a, response)
 	if err == nil {
-		result = r.classifyAnswer(response)
+		if result = r.classifyAnswer(response); result.Reason == gypsumrail.ReasonBroken {
+			r.reportFault(shell.HopTarget, c, a, x, form.New(form.Proof, nil))
+		}
 		if x.unidentified {
 			// The next node would otherwise have to doubt the answer again.
 			response.Header.Set(x.header, x.request)
@@ -178,6 +185,7 @@
 		}
 	} else {
 		r.logGivenUp(c, x, err)
+		r.reportFault(shell.HopTarget, c, a, x, err)
 		result = resultOf(err)
 		switch {
 		case result.Reason == gypsumrail.ReasonConnect:
--- a/internal/node/relay/values.go
+++ b/internal/node/relay/values.go
@@ -30,7 +30,7 @@
 	catalog := r.parts.Catalog
 	return mirror.New(
 		mirror.Settings{
-			Store: r.parts.Store, Peers: r.peerStore, Sources: source.New(r.settings.Self.Address, r.settings.Self.Zone),
+			Store: reportingStore{r.parts.Store, r.faults}, Peers: r.peerStore, Sources: source.New(r.settings.Self.Address, r.settings.Self.Zone),
 			Clock: r.parts.Clock, Wait: watchWaitMax, Contact: r.onPlatform,
 			Confirmed: r.onConfirmed, Fresh: r.needsConfirmation,
 		},
--- a/internal/node/shell/harness_test.go
+++ b/internal/node/shell/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/client"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
@@ -32,6 +33,7 @@
 
 func (discardMeter) RecordCall(End)                                 {}
 func (discardMeter) RecordStep(gypsumrail.EventKind, time.Duration) {}
+func (discardMeter) RecordFault(Hop, form.Fault)                    {}
 
 // script is a reducer for tests. It forwards calls of callers and targets to
 // peer, or runs them on this node's target if peer is not set, and passes the
--- a/internal/node/shell/parts.go
+++ b/internal/node/shell/parts.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/events"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/loop"
 )
 
@@ -28,6 +29,7 @@
 	NoticeRecordsFault      gypsumrail.Notice = 2106 // a part of the records in force is not usable
 	NoticeServerFault       gypsumrail.Notice = 2201 // a server or listener reported an error, or an effect is of an unsupported kind
 	NoticeForeignAnswer     gypsumrail.Notice = 2202 // a peer's answer belonged to another attempt or was malformed
+	NoticeAnswerMalformed   gypsumrail.Notice = 2203 // an answer was refused for its form
 	NoticeSecondSignal      gypsumrail.Notice = 2301 // a second SIGINT ended the process at once
 	NoticeSignalIgnored     gypsumrail.Notice = 2302 // a further signal arrived during a drain, which goes on
 )
@@ -52,6 +54,8 @@
 	// RecordStep records the duration of one step of the reducer, including the
 	// start of its effects.
 	RecordStep(kind gypsumrail.EventKind, took time.Duration)
+	// RecordFault counts an answer that was refused for its form.
+	RecordFault(hop Hop, fault form.Fault)
 }
 
 // Parts are the components that a shell uses.
--- a/internal/node/shell/shell.go
+++ b/internal/node/shell/shell.go
@@ -101,8 +101,12 @@
 		stored:       cache.New(),
 	}
 	s.log = events.NewLog(parts.Logger, NoticeLinesDropped)
+	faults := Faults{Log: s.log, Meter: parts.Meter}
+	s.targetPool.Observe(faults.Observer(HopTarget))
+	s.peerPool.Observe(faults.Observer(HopPeer))
+	s.controlPool.Observe(faults.Observer(HopControl))
 	s.controlPool.SetConns(controlConnsMax)
-	s.control = peer.NewClient(s.controlPool, client.NewUnpooledWithDial(settings.Dial))
+	s.control = peer.NewClient(s.controlPool, client.NewUnpooledWithDial(settings.Dial, faults.Observer(HopControl)))
 	s.platformClient = fetch.NewClient(settings.Platform, s.controlPool)
 	s.loop = loop.New(parts.Reducer, parts.Clock, s.perform, parts.Meter.RecordStep)
 	s.servers = s.newServers()
