Refuse an answer without a length that was reset during the upload

Cause: the kernel reports a reset once. The write of the rest of the request, which runs beside the reading of the answer, gets it, and the read finds the end of the connection, which ends a body without a length. The error of the write was dropped.

At the end of such a body the write is asked: if it still waits, the other side has closed its direction only, and the answer is whole; if it failed, except with a broken pipe, which means a reset after the end, the answer is broken. So a sound target that answers early, ends its side and reads the rest later is served as before. net/http has the same fault and does not tell how the write ended, so its hops refuse answers without a length to requests with a body.

--- a/internal/node/client/client_test.go
+++ b/internal/node/client/client_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 )
 
 func requestBody(t *testing.T, content string, length int64) *RequestBody {
@@ -134,7 +135,7 @@
 		_ = c.Close()
 	}))
 	defer unframed.Close()
-	if _, err := Send(pool, request(t, http.MethodGet, unframed.Listener.Addr().String(), requestBody(t, "", 0)), ReceiptTimeouts{}); !errors.Is(err, errUnframed) {
+	if _, err := Send(pool, request(t, http.MethodGet, unframed.Listener.Addr().String(), requestBody(t, "", 0)), ReceiptTimeouts{}); !isFault(err, form.Unframed) {
 		t.Errorf("an answer without a length gives %v", err)
 	}
 }
--- a/internal/node/client/form_test.go
+++ b/internal/node/client/form_test.go
@@ -19,7 +19,7 @@
 	defer pool.Close()
 	refused := 0
 	observer := func(_ string, err error) {
-		if isStatusLineFault(err) {
+		if isFault(err, form.StatusLine) {
 			refused++
 		}
 	}
@@ -73,12 +73,12 @@
 	if refused == 0 {
 		t.Error("the observer was not told")
 	}
-	if !isStatusLineFault(form.Check(&http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1})) {
+	if !isFault(form.Check(&http.Response{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}), form.StatusLine) {
 		t.Error("a response without a status passes")
 	}
 }
 
-func isStatusLineFault(err error) bool {
-	fault, _ := form.FaultOf(err)
-	return fault == form.StatusLine
+func isFault(err error, fault form.Fault) bool {
+	got, ok := form.FaultOf(err)
+	return ok && got == fault
 }
--- a/internal/node/client/send.go
+++ b/internal/node/client/send.go
@@ -48,9 +48,6 @@
 var (
 	errNoReceipt = errors.New("no receipt from the node within the time limit")
 	errStalled   = errors.New("the body of the answer stalled")
-	// errUnframed rejects an answer that ends when the connection closes,
-	// because a broken connection would look the same.
-	errUnframed = errors.New("the answer has neither a Content-Length nor chunked encoding")
 )
 
 // Send sends a request once and returns when the headers of the answer have
@@ -87,10 +84,6 @@
 	})
 	answer, err := pool.RoundTrip(r.WithContext(ctx))
 	timer.stop()
-	if err == nil && !framed(r, answer) {
-		_ = answer.Body.Close()
-		err = errUnframed
-	}
 	if err != nil {
 		timedOut := errors.Is(context.Cause(ctx), errNoReceipt)
 		cancel(nil)
@@ -100,15 +93,6 @@
 	return answer, nil
 }
 
-// framed reports whether an answer that was cut off by a broken connection can
-// be told from a complete one.
-func framed(r *http.Request, answer *http.Response) bool {
-	if r.Method == http.MethodHead || answer.StatusCode == http.StatusNoContent || answer.StatusCode == http.StatusNotModified {
-		return true
-	}
-	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-}
-
 // receiptTimer cancels a request if the next receipt does not arrive in time.
 type receiptTimer struct {
 	cancel   context.CancelCauseFunc
--- a/internal/node/client/transport.go
+++ b/internal/node/client/transport.go
@@ -122,13 +122,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
-	if err := form.Check(answer); err != nil {
+	err = form.Check(answer)
+	if err == nil && hasBody(r) && !framed(r, answer) {
+		err = form.New(form.Unframed, nil)
+	}
+	if err != nil {
 		_ = answer.Body.Close()
 		return nil, c.refuse(r, err)
 	}
 	return answer, nil
 }
 
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
+// framed reports whether the end of an answer can be told from that of its connection. Package
+// net/http writes the body of a request while it reads the answer, and the socket may report a
+// reset to the write only; the read then finds an end as after a close in order.
+func framed(r *http.Request, answer *http.Response) bool {
+	if r.Method == http.MethodHead || answer.StatusCode == http.StatusNoContent || answer.StatusCode == http.StatusNotModified {
+		return true
+	}
+	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+}
+
 // refuse tells the observer of an answer that is refused, and returns the error to return.
 func (c checked) refuse(r *http.Request, err error) error {
 	if c.observer != nil {
--- a/internal/node/form/fault.go
+++ b/internal/node/form/fault.go
@@ -18,6 +18,7 @@
 	Head       Fault = "Head"       // the head is malformed in another way, or too long
 	Body       Fault = "Body"       // the framing of the body is malformed
 	Truncated  Fault = "Truncated"  // the body ended early
+	Unframed   Fault = "Unframed"   // the body has neither a length nor chunks, where it must
 	Identity   Fault = "Identity"   // the answer belongs to another request
 	Proof      Fault = "Proof"      // a success lacks the proof that a target made it
 	NodeHeader Fault = "NodeHeader" // a header between nodes is missing or malformed
@@ -30,6 +31,7 @@
 	Head:       "the head of the response is malformed or too long",
 	Body:       "the framing of the body is malformed",
 	Truncated:  "the body ended early",
+	Unframed:   "the response has neither a Content-Length nor chunked encoding",
 	Identity:   "the response belongs to another request",
 	Proof:      "the success lacks the proof that a target made it",
 	NodeHeader: "a header between nodes is missing or malformed",
--- a/internal/node/pool/pool.go
+++ b/internal/node/pool/pool.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gypsumrail/gypsumrail/internal/node/client"
@@ -46,10 +45,9 @@
 // Conn is a connection that carries one exchange at a time.
 type Conn struct {
 	net.Conn
-	Reader        *bufio.Reader
-	Reused        bool         // it was idle in the pool, so the other end may have closed it
-	Used          bool         // it has carried an exchange; set by the caller
-	PendingWrites atomic.Int32 // writes concurrent with the reading of an answer, in progress or failed
+	Reader *bufio.Reader
+	Reused bool // it was idle in the pool, so the other end may have closed it
+	Used   bool // it has carried an exchange; set by the caller
 
 	host       string
 	reuseUntil time.Time // the connection is not reused after this time
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -49,6 +49,7 @@
 	deadline time.Time // for sending; the answer is read until readGrace after it
 	answer   bodyReader
 	began    time.Time
+	sending  sending
 
 	unidentified bool // the answer has no identity, so what it states proves nothing about the request
 }
@@ -126,16 +127,15 @@
 // the answer, because the other side may answer before it has read the whole
 // request.
 func (x *httpExchange) write(conn *pool.Conn) (int, error) {
+	x.sending = sending{}
 	sent, err := conn.Write(x.message)
-	if err != nil || len(x.rest) == 0 {
+	if err != nil {
+		x.sending.finish(err)
 		return sent, err //nolint:wrapcheck // open classifies it
 	}
-	conn.PendingWrites.Add(1)
-	go func() {
-		if _, err := conn.Write(x.rest); err == nil {
-			conn.PendingWrites.Add(-1)
-		}
-	}()
+	if len(x.rest) > 0 {
+		x.sending.start(conn, x.rest)
+	}
 	return sent, nil
 }
 
@@ -148,7 +148,12 @@
 		if err := x.answer.read(conn, response, x.isHead); err != nil {
 			return mismatched, err
 		}
-		if conn.PendingWrites.Load() > 0 {
+		if endsWithConnection(response, x.isHead) {
+			if err := x.sending.checkEnd(conn); err != nil {
+				return mismatched, err
+			}
+		}
+		if !x.sending.isComplete() {
 			// The other side answered before the whole request was written. No other
 			// request may follow on this connection.
 			response.Header.SetConnectionClose()
@@ -190,6 +195,11 @@
 // when the connection closes.
 const untilCloseLength = -2
 
+// endsWithConnection reports whether only the end of the connection marks that of an answer.
+func endsWithConnection(response *fasthttp.Response, isHead bool) bool {
+	return !isHead && hasBody(response.StatusCode()) && response.Header.ContentLength() == untilCloseLength
+}
+
 // resultOf returns the outcome and reason of a call whose HTTP exchange failed with err:
 // NotRun if the request was not sent, otherwise Unknown.
 func resultOf(err error) *gypsumrail.Result {
