Refuse answers whose heads or trailers have a name that is no token

Cause: which names a field may have was left to the libraries. fasthttp and net/textproto accept a blank inside a name on purpose. Evidence: of 88 lines in 7 places, on the hop to the target and on that between nodes, those with a blank inside the name were passed on (112 of 112), and all others, with tabs, control bytes, separators, bytes above 127, without a name or a colon, were refused before.

Each name is now checked with httpguts after the library has read a head or trailer: for plain requests in checkFields, which both hops pass, for control messages, the store and calls with gypsumrail's own headers in the transports of package client. The answer is a broken connection then, 502 or another target, with event 2203 and the fault FieldName. The library can hand over a name only through these two places, so none is missed. What else those transports find malformed is counted and logged too.

Failed before: relay TestMalformedFields (112 lines as above), client TestMalformedFields. TestBlanksAroundNames passed before.

--- a/internal/node/client/send.go
+++ b/internal/node/client/send.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 )
 
 // ReceiptTimeouts bounds the time that Send waits for a receipt: an interim
@@ -77,9 +79,9 @@
 			sent.Store(true)
 			timer.reset(timeouts.First)
 		},
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			timer.reset(timeouts.Next)
-			return nil
+			return form.CheckNames(http.Header(header)) //nolint:wrapcheck // it says what is wrong
 		},
 	})
 	answer, err := pool.RoundTrip(r.WithContext(ctx))
--- a/internal/node/client/transport.go
+++ b/internal/node/client/transport.go
@@ -118,18 +118,22 @@
 }
 
 func (c checked) RoundTrip(r *http.Request) (*http.Response, error) {
-	answer, err := c.next.RoundTrip(r)
+	answer, err := c.next.RoundTrip(watchInterims(r))
 	if err != nil {
-		return nil, fmt.Errorf("client: %w", err)
+		return nil, c.report(r, faultOf(err))
 	}
 	err = form.Check(answer)
+	if err == nil {
+		err = form.CheckNames(answer.Header)
+	}
 	if err == nil && hasBody(r) && !framed(r, answer) {
 		err = form.New(form.Unframed, nil)
 	}
 	if err != nil {
 		_ = answer.Body.Close()
-		return nil, c.refuse(r, err)
+		return nil, c.report(r, err)
 	}
+	answer.Body = &checkedBody{ReadCloser: answer.Body, answer: answer, report: func(err error) error { return c.report(r, err) }}
 	return answer, nil
 }
 
@@ -145,9 +149,10 @@
 	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 }
 
-// refuse tells the observer of an answer that is refused, and returns the error to return.
-func (c checked) refuse(r *http.Request, err error) error {
-	if c.observer != nil {
+// report tells the observer if an answer was refused for its form, and returns the error with the
+// package's name.
+func (c checked) report(r *http.Request, err error) error {
+	if _, ok := form.FaultOf(err); ok && c.observer != nil {
 		c.observer(r.URL.Host, err)
 	}
 	return fmt.Errorf("client: %w", err)
--- a/internal/node/form/fault.go
+++ b/internal/node/form/fault.go
@@ -15,6 +15,7 @@
 const (
 	StatusLine Fault = "StatusLine" // the first line is no status line of a response
 	Interims   Fault = "Interims"   // there are too many interim responses
+	FieldName  Fault = "FieldName"  // the name of a field is no token
 	Head       Fault = "Head"       // the head is malformed in another way, or too long
 	Body       Fault = "Body"       // the framing of the body is malformed
 	Truncated  Fault = "Truncated"  // the body ended early
@@ -28,6 +29,7 @@
 var texts = map[Fault]string{
 	StatusLine: "the first line is no status line of a response",
 	Interims:   "too many interim responses",
+	FieldName:  "the name of a field is no token",
 	Head:       "the head of the response is malformed or too long",
 	Body:       "the framing of the body is malformed",
 	Truncated:  "the body ended early",
--- a/internal/node/relay/body.go
+++ b/internal/node/relay/body.go
@@ -82,12 +82,16 @@
 
 func (b *bodyReader) readAnswer(conn *pool.Conn, response *fasthttp.Response, isHead bool) error {
 	if err := readHead(conn, response); err != nil {
-		return faultOfHead(err)
+		return form.OfHead(err) //nolint:wrapcheck // it says what is wrong
 	}
 	if isHead || !hasBody(response.StatusCode()) {
 		return nil
 	}
-	return faultOfBody(b.readBody(conn, response))
+	err := b.readBody(conn, response)
+	if isGivenUp(err) {
+		return err
+	}
+	return form.OfBody(err) //nolint:wrapcheck // it says what is wrong
 }
 
 // readHead reads the head of an answer, and skips interim responses before it.
@@ -97,7 +101,25 @@
 	}
 	response.Reset()
 	response.SkipBody = true
-	return response.ReadLimitBody(conn.Reader, 0) //nolint:wrapcheck // faultOfHead classifies it
+	if err := response.ReadLimitBody(conn.Reader, 0); err != nil {
+		return err //nolint:wrapcheck // form.OfHead classifies it
+	}
+	return checkFields(&response.Header)
+}
+
+// checkFields checks what of a head or trailer the library reads and a response must not have.
+func checkFields(h *fasthttp.ResponseHeader) error {
+	for name := range h.All() {
+		if err := form.CheckName(name); err != nil {
+			return err //nolint:wrapcheck // it says what is wrong
+		}
+	}
+	for name := range h.Trailers() {
+		if err := form.CheckName(name); err != nil {
+			return err //nolint:wrapcheck // it says what is wrong
+		}
+	}
+	return nil
 }
 
 // readBody reads the body of an answer, and its trailer if it is chunked.
@@ -105,7 +127,7 @@
 	length := response.Header.ContentLength()
 	response.SkipBody, response.StreamBody = false, true
 	if err := response.ReadBody(conn.Reader, 0); err != nil {
-		return err //nolint:wrapcheck // faultOfBody classifies it
+		return err //nolint:wrapcheck // form.OfBody classifies it
 	}
 	defer func() { _ = response.CloseBodyStream() }()
 	stream := response.BodyStream()
@@ -115,7 +137,7 @@
 			b.body = append(b.body, block)
 		}
 		if err == io.EOF { //nolint:errorlint // a wrapped EOF is a broken body
-			return nil
+			return checkFields(&response.Header) // with those of the trailer
 		}
 		if err != nil {
 			return err
@@ -137,7 +159,10 @@
 		}
 		response.Reset()
 		if err := response.Header.Read(reader); err != nil {
-			return err //nolint:wrapcheck // faultOfHead classifies it
+			return err //nolint:wrapcheck // form.OfHead classifies it
+		}
+		if err := checkFields(&response.Header); err != nil {
+			return err
 		}
 	}
 	return form.New(form.Interims, nil)
@@ -149,7 +174,7 @@
 	for n := 1; ; {
 		head, err := reader.Peek(max(n, reader.Buffered()))
 		if err != nil {
-			return 0, err //nolint:wrapcheck // faultOfHead classifies it
+			return 0, err //nolint:wrapcheck // form.OfHead classifies it
 		}
 		if code, err := form.Line(head); code > 0 || err != nil {
 			return code, err //nolint:wrapcheck // it says what is wrong
