Refuse answers with control bytes in the reason phrase

Found while looking for other places of a head that may hold control bytes.

Cause: the rule for status lines ends with the digits of the status, and the library writes the phrase that it read into the head that is passed on. Evidence: "O\x00K" arrived as "200 O\x00K"; only a carriage return had been replaced.

The phrase is checked where the names of fields are, so both hops and interim responses pass the check. The other hops do not pass a phrase on. Failed before: relay TestReasonPhrase.

--- a/internal/node/form/fault.go
+++ b/internal/node/form/fault.go
@@ -16,6 +16,7 @@
 	StatusLine Fault = "StatusLine" // the first line is no status line of a response
 	Interims   Fault = "Interims"   // there are too many interim responses
 	FieldName  Fault = "FieldName"  // the name of a field is no token
+	Reason     Fault = "Reason"     // the reason phrase has control bytes
 	Head       Fault = "Head"       // the head is malformed in another way, or too long
 	Body       Fault = "Body"       // the framing of the body is malformed
 	Truncated  Fault = "Truncated"  // the body ended early
@@ -30,6 +31,7 @@
 	StatusLine: "the first line is no status line of a response",
 	Interims:   "too many interim responses",
 	FieldName:  "the name of a field is no token",
+	Reason:     "the reason phrase has control bytes",
 	Head:       "the head of the response is malformed or too long",
 	Body:       "the framing of the body is malformed",
 	Truncated:  "the body ended early",
--- a/internal/node/form/field.go
+++ b/internal/node/form/field.go
@@ -20,6 +20,17 @@
 	return nil
 }
 
+// CheckReason returns an error with the fault Reason if a reason phrase has control bytes other
+// than tabs (RFC 9112, section 4).
+func CheckReason(phrase []byte) error {
+	for _, c := range phrase {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return New(Reason, fmt.Errorf("%.40q", phrase))
+		}
+	}
+	return nil
+}
+
 // CheckNames checks the names of the fields of a head or trailer that net/http has read.
 func CheckNames(header http.Header) error {
 	for name := range header {
--- a/internal/node/logs/table.go
+++ b/internal/node/logs/table.go
@@ -134,7 +134,7 @@
 		"a peer's answer has another attempt's identity or malformed headers; its connection was closed",
 		"look for a proxy between the nodes that reorders or changes answers"},
 	{2203, "AnswerMalformed", log.WarnLevel, "answer refused for its form",
-		"an answer is not one in the protocol; `Subject` is the identity of the request, or the address that answered, `Hop` in `Detail` where it was read (`target`, `peer`, `control`, `store`), `From` the side that answered and `Fault` what is wrong: `StatusLine`, `Interims`, `FieldName`, `Head`, `Body`, `Truncated`, `Unframed`, `Identity`, `Proof` or `NodeHeader`. It counts as a broken connection; metric `gypsumrail_malformed_answers_total`",
+		"an answer is not one in the protocol; `Subject` is the identity of the request, or the address that answered, `Hop` in `Detail` where it was read (`target`, `peer`, `control`, `store`), `From` the side that answered and `Fault` what is wrong: `StatusLine`, `Interims`, `FieldName`, `Reason`, `Head`, `Body`, `Truncated`, `Unframed`, `Identity`, `Proof` or `NodeHeader`. It counts as a broken connection; metric `gypsumrail_malformed_answers_total`",
 		"check what the side in `From` sends"},
 	{2301, "SecondSignal", log.WarnLevel, "second SIGINT, exiting at once",
 		"a second SIGINT arrived during a drain; calls in flight were cut off", "nothing"},
--- a/internal/node/relay/body.go
+++ b/internal/node/relay/body.go
@@ -109,6 +109,9 @@
 
 // checkFields checks what of a head or trailer the library reads and a response must not have.
 func checkFields(h *fasthttp.ResponseHeader) error {
+	if err := form.CheckReason(h.StatusMessage()); err != nil {
+		return err //nolint:wrapcheck // it says what is wrong
+	}
 	for name := range h.All() {
 		if err := form.CheckName(name); err != nil {
 			return err //nolint:wrapcheck // it says what is wrong
--- a/internal/node/relay/fields_test.go
+++ b/internal/node/relay/fields_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// Guards against control bytes that a target puts into the reason phrase, and that reach the client.
+func TestReasonPhrase(t *testing.T) {
+	next := make(chan string, 1)
+	target := listenRaw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
+	entry, _ := startRaw(t, target, "")
+	for i, test := range []struct {
+		phrase string
+		status int
+	}{
+		{"OK", http.StatusOK}, {"Not so\tbad \xe9", http.StatusOK}, {"", http.StatusOK},
+		{"O\rX-Bad: 1", http.StatusOK}, // the carriage return is replaced by a blank (RFC 9112, section 2.2)
+		{"O\x00K", http.StatusBadGateway}, {"O\x1bK", http.StatusBadGateway}, {"OK\x7f", http.StatusBadGateway},
+	} {
+		next <- "HTTP/1.1 200 " + test.phrase + "\r\nPROOF\r\nContent-Length: 3\r\n\r\nbad"
+		if answer, _ := sendRequest(t, entry, http.MethodPost, "/own/1", fmt.Sprintf("reason-%d", i), ""); answer.StatusCode != test.status || strings.ContainsRune(answer.Status, '\r') {
+			t.Errorf("%q: status %d %q, want %d", test.phrase, answer.StatusCode, answer.Status, test.status)
+		}
+	}
+}
