Test the status 000 after an interim response

Here it is refused already: relay TestNoStatusLineOfTarget (GET and POST, with a kept connection), TestNoStatusLineOfPeer, client TestNoStatusLine.

--- a/internal/node/relay/status_test.go
+++ b/internal/node/relay/status_test.go
@@ -45,7 +45,7 @@
 				_ = conn.Close()
 			}
 			entry, targets, _ := deployment(t, answer, answer)
-			for i, line := range append(notResponses, interims(1000)+"HTTP/1.1 200 OK") {
+			for i, line := range append(notResponses, interims(1)+"HTTP/1.1 000 X", interims(1000)+"HTTP/1.1 200 OK") {
 				next.Store(&line)
 				before := targets[1].count() + targets[2].count()
 				answer, body := sendRequest(t, entry, test.method, test.path, fmt.Sprintf("id-%d", i), "")
@@ -107,7 +107,7 @@
 	platform.put("instances/b0", gypsumrail.Instance{Name: "b0", Service: "back", Zone: "z", Address: listener.Addr().String(), State: gypsumrail.Live, Slots: 4})
 	entry.awaitReady(t)
 	time.Sleep(300 * time.Millisecond)
-	for i, line := range append(notResponses, interims(1000)+"HTTP/1.1 200 OK") {
+	for i, line := range append(notResponses, interims(1)+"HTTP/1.1 000 X", interims(1000)+"HTTP/1.1 200 OK") {
 		next <- line
 		answer, body := sendRequest(t, entry, http.MethodPost, "/once/1", fmt.Sprintf("id-%d", i), "")
 		if answer.StatusCode != http.StatusBadGateway {
