Bound the bodies of requests and answers together, as they arrive

Beside it, short uploads in chunks were refused with 503 as soon as two were under way.

Cause: requests had a bound of 64 MiB on every machine, answers one of a fifth of the memory, and nothing bounded their sum. A body of a request was read into a buffer that doubles and is copied, so one of 40 MiB took far more. A body in chunks counted as the longest possible one until it was read.

Bodies of requests are read in blocks now, with the reader of answers, and their bytes count as they arrive, towards a quota of their own and with answers towards one total, half of the memory. At the bound the longest unfinished request of the sender that holds most is refused with 503, which is true, as it has not run. Each kind keeps what it holds, and a share that the other cannot take, so neither pushes out the other. The sum of both, which the process dies of, is what is bounded.

TestLargeBodies was wrong: it required a refusal of the third of three requests that announce 30 MiB and send 5 bytes, which a bound by what arrived rightly admits.

--- a/internal/cmds/verbs/sidecar.go
+++ b/internal/cmds/verbs/sidecar.go
@@ -28,7 +28,7 @@
 	Peers       string  `arg:"--peers,env:GYPSUMRAIL_PEERS" placeholder:"ADDRESS" help:"port for other nodes, the same number on all; the next port is used too (required)"`
 	Admin       string  `arg:"--admin,env:GYPSUMRAIL_ADMIN" placeholder:"ADDRESS" help:"port for operators (required)"`
 	Grace       float64 `arg:"--grace,env:GYPSUMRAIL_GRACE" placeholder:"SECONDS" help:"time between SIGTERM and the end of the process, 1 to 3600" default:"6"`
-	Memory      string  `arg:"--memory,env:GYPSUMRAIL_MEMORY" placeholder:"MEGABYTES" help:"memory that the process may use, 64 to 1048576; a fifth of it is for answers [default: 184]"`
+	Memory      string  `arg:"--memory,env:GYPSUMRAIL_MEMORY" placeholder:"MEGABYTES" help:"memory that the process may use, 64 to 1048576; half of it is for bodies of requests and answers, a fifth for answers [default: 184]"`
 	RetryShare  float64 `arg:"--retry-share,env:GYPSUMRAIL_RETRY_SHARE" placeholder:"SHARE" help:"retries of a service per success, over 0 to 1" default:"0.1"`
 	RetryBurst  int     `arg:"--retry-burst,env:GYPSUMRAIL_RETRY_BURST" placeholder:"N" help:"retries of a service that can be saved up, 1 to 1000" default:"2"`
 	ZonePrice   float64 `arg:"--zone-price,env:GYPSUMRAIL_ZONE_PRICE" placeholder:"MS" help:"milliseconds that a call must gain for each KB that it sends to another zone and back, over 0 to 1000" default:"5"`
--- a/internal/node/admin/client.go
+++ b/internal/node/admin/client.go
@@ -44,6 +44,7 @@
 	EventsDropped  uint64 // lines of /events that were not delivered, mostly to slow readers
 	RecordsInForce gypsumrail.Revision
 	AnswerMemory   *quota.Usage `json:",omitempty"` // for plain requests: the memory of the answers that the node holds
+	RequestMemory  *quota.Usage `json:",omitempty"` // and of the requests
 }
 
 // Status is the JSON document that /status returns.
--- a/internal/node/admin/table.go
+++ b/internal/node/admin/table.go
@@ -56,6 +56,9 @@
 	if m := s.Shell.AnswerMemory; m != nil {
 		row("Answers held", "%s", answerMemory(m))
 	}
+	if m := s.Shell.RequestMemory; m != nil {
+		row("Requests held", "%d of %d kB, %d given up; %d kB unfinished", (m.Reading+m.Ready)/1000, m.Bound/1000, m.GivenUp, m.Reading/1000)
+	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("status: %w", err)
 	}
--- a/internal/node/build/relay.go
+++ b/internal/node/build/relay.go
@@ -80,19 +80,31 @@
 	})
 }
 
-// answerShare is the share of the memory that answers may take, as a divisor. Garbage that
-// the runtime has not collected yet can double them. Bodies of requests, connections and
-// the node's own state need the rest.
-const answerShare = 5
+// Shares of the memory that bodies may take, as divisors. Garbage that the runtime has not
+// collected yet comes on top, as do connections and the node's own state.
+const (
+	bodyShare      = 2  // all together
+	answerShare    = 5  // answers
+	answerShareMin = 10 // what requests always leave to answers
+)
+
+// newBodyQuotas returns the quotas for the bodies of answers and of requests.
+func newBodyQuotas(memory int64) (answers, requests *quota.Quota) {
+	total := quota.NewTotal(memory / bodyShare)
+	answers = total.NewQuota(quota.Bounds{Max: memory / answerShare, One: relay.AnswerBytesMax, Waits: true})
+	requestsMax := memory/bodyShare - memory/answerShareMin
+	requests = total.NewQuota(quota.Bounds{Max: requestsMax, One: requestsMax})
+	return answers, requests
+}
 
 func newRelayParts(settings RelaySettings, node *core.Node, m *meter.Meter, logger shell.Logger, clock gypsumrail.Clock) relay.Parts {
-	answers := quota.New(settings.Memory/answerShare, relay.AnswerBytesMax)
-	m.ObserveAnswers(answers)
+	answers, requests := newBodyQuotas(settings.Memory)
+	m.ObserveBodies(answers, requests)
 	return relay.Parts{
 		Reducer: m.MeasureNode(node),
 		Status:  func() any { return admin.Node{Status: node.Status(), Plain: true, Refusals: m.Refusals()} },
 		Store:   settings.Store, Catalog: settings.Catalog, Logger: logger, Meter: m, Metrics: m, Clock: clock,
-		Answers: answers,
+		Answers: answers, Requests: requests,
 	}
 }
 
--- a/internal/node/meter/memory.go
+++ b/internal/node/meter/memory.go
@@ -9,9 +9,9 @@
 	"github.com/gypsumrail/gypsumrail/internal/node/quota"
 )
 
-// ObserveAnswers adds the memory that answers take to the metrics. Its labels name only
-// the few targets that hold most when they are read.
-func (m *Meter) ObserveAnswers(answers *quota.Quota) {
+// ObserveBodies adds the memory that the bodies of answers and requests take to the metrics. Its
+// labels name only the few targets that hold most when they are read.
+func (m *Meter) ObserveBodies(answers, requests *quota.Quota) {
 	m.set.RegisterMetricsWriter(func(w io.Writer) {
 		usage := answers.Usage()
 		metrics.WriteGaugeUint64(w, "gypsumrail_answer_bytes_max", uint64(usage.Bound))
@@ -20,5 +20,10 @@
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("gypsumrail_answer_bytes{target=%q,state=\"reading\"}", t.Target), uint64(t.Reading))
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("gypsumrail_answer_bytes{target=%q,state=\"ready\"}", t.Target), uint64(t.Ready))
 		}
+		usage = requests.Usage()
+		metrics.WriteGaugeUint64(w, `gypsumrail_request_bytes{state="reading"}`, uint64(usage.Reading))
+		metrics.WriteGaugeUint64(w, `gypsumrail_request_bytes{state="ready"}`, uint64(usage.Ready))
+		metrics.WriteGaugeUint64(w, "gypsumrail_request_bytes_max", uint64(usage.Bound))
+		metrics.WriteCounterUint64(w, "gypsumrail_requests_given_up_total", usage.GivenUp)
 	})
 }
--- a/internal/node/quota/quota_test.go
+++ b/internal/node/quota/quota_test.go
@@ -66,7 +66,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			q := quota.New(100, 60)
+			q := quota.NewTotal(100).NewQuota(quota.Bounds{Max: 100, One: 60, Waits: true})
 			holds, aborted := make(map[string]*quota.Hold), ""
 			for i, s := range test.steps {
 				h := holds[s.answer]
@@ -104,7 +104,7 @@
 	const bound, short = 1000, 40
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 0))
-		q := quota.New(bound, bound/2)
+		q := quota.NewTotal(bound).NewQuota(quota.Bounds{Max: bound, One: bound / 2, Waits: true})
 		type answer struct {
 			*quota.Hold
 			bytes             int64
--- a/internal/node/relay/accounts.go
+++ b/internal/node/relay/accounts.go
@@ -94,7 +94,7 @@
 
 // rejectCall refuses a call that identify did not accept.
 func (r *Relay) rejectCall(c *call, status int, reason gypsumrail.Reason) {
-	r.largeBodyBytes.Add(-c.largeBodyBytes)
+	c.hold.Release()
 	r.parts.Meter.RecordCall(shell.End{
 		Origin: c.arrival.Origin, Service: c.arrival.Service, Class: c.arrival.Class, Outcome: gypsumrail.NotRun, Reason: reason,
 		Status: status, Duration: time.Since(c.began),
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -24,8 +24,8 @@
 	expectedTarget string // name of the instance that the sending node chose; empty for a client's request
 	isHead         bool   // the method is HEAD: the answer has no body
 	head           []byte // request line and end-to-end headers, without the empty line
-	body           []byte
-	largeBodyBytes int64 // bytes of the body that count towards largeBodyBytesMax
+	body           body
+	hold           *quota.Hold // of the body's memory; nil for a short one
 	credential     credential
 
 	conn          *conn // of the caller; nil after the answer or after the caller has gone
@@ -200,7 +200,7 @@
 func (r *Relay) removeIfDone(c *call) {
 	if c.conn == nil && c.active == 0 && r.calls[c.id] == c {
 		delete(r.calls, c.id)
-		r.largeBodyBytes.Add(-c.largeBodyBytes)
+		c.hold.Release()
 		c.targetAnswer.release()
 		for _, a := range c.attempts {
 			if a != nil {
--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -25,11 +25,6 @@
 	writeTimeout = 30 * time.Second
 	// lingerTimeout is how long a closing connection waits for its client to close.
 	lingerTimeout = time.Second
-	// Bodies of more than largeBodyThreshold bytes, and those of unknown size while they
-	// are read, count towards largeBodyBytesMax. It bounds the memory that clients can
-	// fill: an instance has some hundred megabytes.
-	largeBodyThreshold = 16 << 10
-	largeBodyBytesMax  = 64 << 20
 	// connsMax bounds the open connections of clients and nodes. It is below the
 	// file descriptor limit of a small instance.
 	connsMax = 3000
@@ -183,30 +178,32 @@
 		c.reject("", http.StatusRequestEntityTooLarge, wire.ReasonBodyTooLong, true)
 		return nil, false
 	}
-	if size == chunkedLength {
-		size = limits.BodyBytes // the largest possible one, until it is read
+	requests := c.relay.parts.Requests
+	if size > uncountedBytesMax && !requests.Admits(int64(size)) {
+		return nil, c.rejectBusy(request)
 	}
-	largeBodyBytes := countedBytes(size)
-	if c.relay.largeBodyBytes.Add(largeBodyBytes) > largeBodyBytesMax {
-		c.relay.largeBodyBytes.Add(-largeBodyBytes)
-		c.reject(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy, true)
-		return nil, false
-	}
-	if err := request.ContinueReadBody(c.reader, limits.BodyBytes, false); err != nil {
-		c.relay.largeBodyBytes.Add(-largeBodyBytes)
+	body := requestReader{quota: requests, net: c.net}
+	if err := body.read(request, c.reader, limits.BodyBytes); err != nil {
+		if isGivenUp(err) {
+			return nil, c.rejectBusy(request)
+		}
 		return nil, c.rejectUnreadable(err)
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
-	k := c.parseRequest(request, began)
+	k := c.parseRequest(request, &body.blockReader, began)
 	if k == nil {
-		c.relay.largeBodyBytes.Add(-largeBodyBytes)
-		return nil, true
+		body.drop()
 	}
-	k.largeBodyBytes = countedBytes(len(k.body))
-	c.relay.largeBodyBytes.Add(k.largeBodyBytes - largeBodyBytes)
 	return k, true
 }
 
+// rejectBusy refuses a request for whose body there is no memory. It always returns false: the
+// connection has to be closed, as the rest of the body is not read.
+func (c *conn) rejectBusy(request *fasthttp.Request) bool {
+	c.reject(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy, true)
+	return false
+}
+
 // rejectUnreadable answers a request that could not be read, unless the caller closed
 // the connection. It always returns false: the connection has to be closed.
 func (c *conn) rejectUnreadable(err error) bool {
@@ -243,9 +240,9 @@
 // receives them within a fraction of a second.
 const rejectRetryAfter = gypsumrail.Second / 4
 
-// parseRequest returns the call of a request that was read at began, or nil if it
-// rejected the request. The remaining time of a client's request counts from began.
-func (c *conn) parseRequest(request *fasthttp.Request, began time.Time) *call {
+// parseRequest returns the call of a request that was read at began, with its body, or nil if
+// it rejected the request. The remaining time of a client's request counts from began.
+func (c *conn) parseRequest(request *fasthttp.Request, body *blockReader, began time.Time) *call {
 	own := &c.relay.settings.Headers
 	h := &request.Header
 	k := &call{
@@ -265,11 +262,11 @@
 	if !ok {
 		return nil
 	}
-	k.body = request.SwapBody(nil) // not copied: large bodies would be in memory twice
+	k.body, k.hold = body.body, body.hold
 	k.credential = c.relay.takeCredential(h)
 	k.arrival.Fingerprint = fingerprint(h, k.body)
-	k.head = requestHead(h, own, len(k.body))
-	k.arrival.Bytes = len(k.head) + len(k.body)
+	k.head = requestHead(h, own, k.body.size())
+	k.arrival.Bytes = len(k.head) + k.body.size()
 	return k
 }
 
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -42,12 +42,12 @@
 	pool     *pool.Pool
 	host     string
 	message  []byte // the head and as much of the body as is written before the answer is read
-	rest     []byte // of the body
+	rest     body   // what is left of the body
 	request  string // identity that the answer must echo; see read
 	header   string // name of the header with the identity
 	isHead   bool
 	deadline time.Time // for sending; the answer is read until readGrace after it
-	answer   bodyReader
+	answer   answerReader
 	began    time.Time
 	sending  sending
 
@@ -56,10 +56,9 @@
 
 // setMessage sets the request to a head and a body. It does not copy a large body, which
 // the call holds already.
-func (x *httpExchange) setMessage(head, body []byte) {
-	direct := min(len(body), max(directWriteBytesMax-len(head), 0))
-	x.message = slices.Concat(head, body[:direct])
-	x.rest = body[direct:]
+func (x *httpExchange) setMessage(head []byte, body body) {
+	direct, rest := body.split(min(body.size(), max(directWriteBytesMax-len(head), 0)))
+	x.message, x.rest = slices.Concat(head, direct), rest
 }
 
 // do sends the request, reads its answer into response and returns the connection
--- a/internal/node/relay/limits.go
+++ b/internal/node/relay/limits.go
@@ -44,14 +44,3 @@
 	}
 	return limits
 }
-
-// chunkedLength is the ContentLength that fasthttp reports for a chunked body.
-const chunkedLength = -1
-
-// countedBytes returns the bytes of a body that count towards largeBodyBytesMax.
-func countedBytes(size int) int64 {
-	if size <= largeBodyThreshold {
-		return 0
-	}
-	return int64(size)
-}
--- a/internal/node/relay/listen.go
+++ b/internal/node/relay/listen.go
@@ -150,7 +150,7 @@
 }
 
 func (r *Relay) status(c *gin.Context) {
-	usage := r.parts.Answers.Usage()
+	answers, requests := r.parts.Answers.Usage(), r.parts.Requests.Usage()
 	r.mu.Lock()
 	var node any
 	if r.parts.Status != nil {
@@ -161,7 +161,7 @@
 		Shell admin.Shell
 	}{node, admin.Shell{
 		Calls: len(r.calls), Ready: r.isReady(), Watching: !r.platformLost.Load(), Source: r.follower.Source(), LinesDropped: r.log.Dropped(), EventsDropped: r.loop.Events().Dropped(),
-		RecordsInForce: r.revision(), AnswerMemory: &usage,
+		RecordsInForce: r.revision(), AnswerMemory: &answers, RequestMemory: &requests,
 	}})
 	r.mu.Unlock()
 	if err != nil {
--- a/internal/node/relay/path_test.go
+++ b/internal/node/relay/path_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -294,16 +295,17 @@
 	}
 }
 
-// Clients must not be able to fill the memory of a node with large bodies. The bytes
-// of a body must stop counting when its connection is closed.
+// Clients must not be able to fill the memory of a node with large bodies: of three that do not
+// fit together, all but the last byte of each is sent. The bytes of a body must stop counting
+// when its connection is closed.
 func TestLargeBodies(t *testing.T) {
-	const length, chunked = "Content-Length: 31457280\r\n\r\nbegin", "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n"
+	const length, chunked = "Content-Length: 31457280\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1e00000\r\n"
 	for _, second := range []string{length, chunked} {
 		testLargeBodies(t, length, second, length)
 	}
 }
 
-// testLargeBodies sends three requests with these headers and the beginning of the body.
+// testLargeBodies sends three requests with these headers and bodies of 30 MiB, but for a byte.
 func testLargeBodies(t *testing.T, framing ...string) {
 	t.Helper()
 	entry, targets, platform := deployment(t, writeEcho)
@@ -312,19 +314,39 @@
 	platform.put("records", larger)
 	time.Sleep(300 * time.Millisecond)
 	var open []net.Conn
+	var work sync.WaitGroup
+	lines := make([]string, len(framing))
 	for i, frame := range framing {
 		conn, err := net.Dial("tcp", entry.ports.Clients) //nolint:noctx // loopback
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\n%s", i, frame)
 		open = append(open, conn)
-		time.Sleep(100 * time.Millisecond)
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		work.Go(func() {
+			fmt.Fprintf(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\n%s", i, frame)
+			_, _ = io.Copy(conn, zeros(30<<20-1)) // fails for the one that is refused
+		})
+		work.Go(func() {
+			line := make([]byte, 12)
+			if _, err := io.ReadFull(conn, line); err == nil {
+				lines[i] = string(line[9:])
+			}
+		})
+	}
+	work.Wait()
+	refused := 0
+	for i, status := range lines {
+		switch status {
+		case "503":
+			refused++
+		case "":
+		default:
+			t.Errorf("body %d of 30 MiB: status %q", i, status)
+		}
 	}
-	line := make([]byte, 12)
-	_ = open[2].SetReadDeadline(time.Now().Add(5 * time.Second))
-	if _, err := io.ReadFull(open[2], line); err != nil || string(line[9:]) != "503" {
-		t.Errorf("third body of 30 MiB: error %v, status line %q, want 503", err, line)
+	if refused == 0 || refused == len(framing) {
+		t.Errorf("%d of %d bodies of 30 MiB were refused, which do not fit together", refused, len(framing))
 	}
 	for _, conn := range open {
 		_ = conn.Close()
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -77,8 +77,9 @@
 	Logger  shell.Logger
 	Meter   shell.Meter
 	Metrics http.Handler
-	Answers *quota.Quota // bounds the memory of the answers that the node holds
-	Clock   gypsumrail.Clock
+	// These bound the memory of the bodies that the node holds: of answers, and of requests.
+	Answers, Requests *quota.Quota
+	Clock             gypsumrail.Clock
 }
 
 // Relay runs one node for plain requests. It is safe for concurrent use.
@@ -87,28 +88,27 @@
 	parts     Parts
 	listeners *Listeners
 
-	base           context.Context // context of all work that is not bound to one connection
-	cancel         context.CancelFunc
-	stopped        chan struct{} // closed by the Stop effect
-	peers          *pool.Pool
-	targets        *pool.Pool
-	control        *peer.Client
-	controlPool    *client.Pool
-	values         *fetch.Store
-	follower       *mirror.Follower
-	log            *events.Log
-	faults         shell.Faults
-	controlSlots   chan struct{} // one element for each control message being sent
-	records        atomic.Pointer[gypsumrail.Records]
-	instances      atomic.Pointer[instanceList]
-	instancesRead  atomic.Bool  // a valid instance list was received since the start
-	platformLost   atomic.Bool  // the last read of the platform failed
-	draining       atomic.Bool  // Drain was called
-	stopBy         atomic.Int64 // end of the time for the last answers of a drain, in Unix nanoseconds
-	unwritten      atomic.Int64 // replies that the reducer has decided on and that are not written yet
-	largeBodyBytes atomic.Int64 // large bodies of calls in flight and requests being read; at most largeBodyBytesMax
-	keysKnown      atomic.Bool  // records with keys were in force since the start, so credentials are removed from requests
-	copyInForce    atomic.Bool  // no newer records than those in force are in the copy of the store
+	base          context.Context // context of all work that is not bound to one connection
+	cancel        context.CancelFunc
+	stopped       chan struct{} // closed by the Stop effect
+	peers         *pool.Pool
+	targets       *pool.Pool
+	control       *peer.Client
+	controlPool   *client.Pool
+	values        *fetch.Store
+	follower      *mirror.Follower
+	log           *events.Log
+	faults        shell.Faults
+	controlSlots  chan struct{} // one element for each control message being sent
+	records       atomic.Pointer[gypsumrail.Records]
+	instances     atomic.Pointer[instanceList]
+	instancesRead atomic.Bool  // a valid instance list was received since the start
+	platformLost  atomic.Bool  // the last read of the platform failed
+	draining      atomic.Bool  // Drain was called
+	stopBy        atomic.Int64 // end of the time for the last answers of a drain, in Unix nanoseconds
+	unwritten     atomic.Int64 // replies that the reducer has decided on and that are not written yet
+	keysKnown     atomic.Bool  // records with keys were in force since the start, so credentials are removed from requests
+	copyInForce   atomic.Bool  // no newer records than those in force are in the copy of the store
 	// The last time at which a read of the store was sent that showed no newer records than
 	// those in force; nil if there was none. It is set under the mutex.
 	confirmed     atomic.Pointer[gypsumrail.Millis]
--- a/internal/node/relay/send.go
+++ b/internal/node/relay/send.go
@@ -39,7 +39,7 @@
 	x := &httpExchange{
 		pool: r.peers, host: e.To.Address, request: c.request, header: r.settings.Headers.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
-		answer: bodyReader{quota: r.parts.Answers, target: e.To.Name},
+		answer: answerReader{quota: r.parts.Answers, target: e.To.Name},
 	}
 	x.setMessage(message, c.body)
 	if e.Attempt > 1 {
@@ -158,7 +158,7 @@
 	x := &httpExchange{
 		pool: r.targets, host: r.settings.Target, request: c.request, header: own.Request,
 		isHead: c.isHead, deadline: time.Now().Add(remaining.Duration()),
-		answer: bodyReader{quota: r.parts.Answers, target: cmp.Or(expectedTarget, r.settings.Target)},
+		answer: answerReader{quota: r.parts.Answers, target: cmp.Or(expectedTarget, r.settings.Target)},
 	}
 	x.setMessage(message, c.body)
 	go r.runOnTarget(c, a, x)
--- a/internal/node/relay/sending.go
+++ b/internal/node/relay/sending.go
@@ -19,12 +19,12 @@
 }
 
 // start writes the rest of a request in a goroutine of its own.
-func (s *sending) start(conn net.Conn, rest []byte) {
+func (s *sending) start(conn net.Conn, rest body) {
 	done := make(chan struct{})
 	s.done = done
 	go func() {
 		defer close(done)
-		_, s.err = conn.Write(rest)
+		s.err = rest.writeTo(conn)
 	}()
 }
 
