State that a request refused for lack of memory has not run

A client got 502 for an upload that the node beside the target had refused before it ran, so that it could not repeat an order that never ran.

Cause: a request that is rejected before the reducer gets it was answered as to a client, without the header in which nodes state the outcome, and the sending node took the refusal for a malformed answer.

The refusal for lack of memory states NotRun, the reason and the retries left on the port for nodes. It is true, since nothing of the request was passed on. The sending node may try another target, or answers 503.

--- a/internal/node/relay/conn.go
+++ b/internal/node/relay/conn.go
@@ -200,7 +200,18 @@
 // rejectBusy refuses a request for whose body there is no memory. It always returns false: the
 // connection has to be closed, as the rest of the body is not read.
 func (c *conn) rejectBusy(request *fasthttp.Request) bool {
-	c.reject(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy, true)
+	rep := c.newRejection(string(request.Header.Peek(c.relay.settings.Headers.Request)), http.StatusServiceUnavailable, wire.ReasonBusy)
+	rep.close = true
+	if c.origin == gypsumrail.FromPeer {
+		// Without this statement the sending node would have to assume that the call may have run.
+		result := gypsumrail.Result{Outcome: gypsumrail.NotRun, Reason: wire.ReasonBusy, RetryAfter: rejectRetryAfter}
+		var k call
+		if _, err := parseCall(string(request.Header.Peek(headerCall)), &k); err == nil {
+			result.AllowanceLeft = k.arrival.Allowance
+		}
+		rep.extraHead = appendAnswer(nil, &result, c.relay.revisions())
+	}
+	c.respond(rep)
 	return false
 }
 
@@ -226,14 +237,19 @@
 // reject answers and logs a request that the reducer never gets. If last is set, it
 // closes the connection after the answer.
 func (c *conn) reject(request string, status int, reason gypsumrail.Reason, last bool) {
+	rep := c.newRejection(request, status, reason)
+	rep.close = last
+	c.respond(rep)
+}
+
+// newRejection logs a request that the reducer never gets and returns the answer.
+func (c *conn) newRejection(request string, status int, reason gypsumrail.Reason) reply {
+	c.relay.log.Put(NoticeRequestRejected, request, reason, countField("Status", status)+countField(" Revision", int(c.relay.revision())))
 	retryAfter := gypsumrail.Millis(0)
 	if status == http.StatusServiceUnavailable {
 		retryAfter = rejectRetryAfter
 	}
-	rep := newRefusal(c.relay.settings.Headers.Request, request, status, reason, retryAfter)
-	rep.close = last
-	c.relay.log.Put(NoticeRequestRejected, request, reason, countField("Status", status)+countField(" Revision", int(c.relay.revision())))
-	c.respond(rep)
+	return newRefusal(c.relay.settings.Headers.Request, request, status, reason, retryAfter)
 }
 
 // rejectRetryAfter is the Retry-After of a 503 from reject. A node without records
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -255,6 +255,12 @@
 }
 
 func startNode(t *testing.T, name, service, targetAddress string, platform gypsumrail.Store) *sidecar {
+	t.Helper()
+	return startNodeOf(t, memoryMax, name, service, targetAddress, platform)
+}
+
+// startNodeOf is startNode for a machine of so many bytes of memory.
+func startNodeOf(t *testing.T, memory int64, name, service, targetAddress string, platform gypsumrail.Store) *sidecar {
 	t.Helper()
 	address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePorts(t)) }
 	s := &sidecar{
@@ -267,7 +273,7 @@
 			Target: targetAddress, Log: &s.log, LogLevel: log.InfoLevel,
 		},
 		Ports: s.ports, Headers: headers, Store: platform, Catalog: catalog{}, RetryShare: 0.1, RetryBurst: 10,
-		DrainMin: 100, DrainMax: 3000, Memory: memoryMax,
+		DrainMin: 100, DrainMax: 3000, Memory: memory,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/relay/uploads_test.go
+++ b/internal/node/relay/uploads_test.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/gypsumrail/gypsumrail"
 )
 
 // requestBytesMax is the longest body that the records of the users' deployments allow.
@@ -206,3 +208,29 @@
 		})
 	}
 }
+
+// Guards against a caller that is told nothing about a request that has not run: the node beside
+// the target has no memory for its body, and that of the caller must learn that it did not run.
+func TestUploadTooLongForPeer(t *testing.T) {
+	const uploadBytes = 40 << 20 // more than requests may take beside a target of 64 MB
+	for _, inChunks := range []bool{false, true} {
+		t.Run(fmt.Sprintf("in chunks %v", inChunks), func(t *testing.T) {
+			front, back := newTarget(t, writeEcho), newTarget(t, writeEcho)
+			entry, platform := startRaw(t, front.listener.Addr().String(), "")
+			records := testRecords(2)
+			records.Limits.BodyBytes = requestBytesMax
+			platform.put("records", records)
+			node := startNodeOf(t, 64_000_000, "b0", "back", back.listener.Addr().String(), platform)
+			platform.put("instances/b0", gypsumrail.Instance{Name: "b0", Service: "back", Zone: "z", Address: node.ports.Peers, State: gypsumrail.Live, Slots: 4})
+			node.awaitReady(t)
+			time.Sleep(300 * time.Millisecond) // until the list has it
+			status, body, err := upload(t, entry, "id", make([]byte, uploadBytes), inChunks)
+			if status != http.StatusServiceUnavailable || err != nil || back.ran("id") {
+				t.Errorf("status %d %q, %v, ran %t, want 503 and no run", status, body, err, back.ran("id"))
+			}
+			if lines := entry.log.lines("AnswerMalformed"); len(lines) > 0 {
+				t.Errorf("the refusal counts as malformed: %q", lines)
+			}
+		})
+	}
+}
