Keep one raw stand-in for the tests of relay and client

It is stubs.Raw now, with stubs.Reset; comments that had grown too wide are wrapped. No check changed.

--- a/internal/node/client/fields_test.go
+++ b/internal/node/client/fields_test.go
@@ -1,37 +1,24 @@
 package client
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 )
 
 // Guards against an answer whose head or trailer has a line that is no field, and that counts as
 // an answer of a target, of a node or of the store.
 func TestMalformedFields(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	next := make(chan string, 1)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				fmt.Fprint(conn, <-next)
-			}
-			_ = conn.Close()
-		}
-	}()
+	address := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprint(conn, <-next)
+	})
 	pool := NewPool()
 	defer pool.Close()
 	refused := 0
@@ -61,7 +48,7 @@
 				for _, place := range places {
 					next <- strings.Replace(place, "LINE", test.line, 1)
 					before := refused
-					r, err := http.NewRequestWithContext(t.Context(), method, "http://"+listener.Addr().String(), io.NopCloser(strings.NewReader("x")))
+					r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address, io.NopCloser(strings.NewReader("x")))
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/internal/node/form/line.go
+++ b/internal/node/form/line.go
@@ -60,7 +60,8 @@
 // IsInterim reports whether the status of a line is that of an interim response.
 func IsInterim(code int) bool { return code < finalMin }
 
-// Check returns an error with the fault StatusLine if a head that net/http has read is no response. That package requires three characters and a number, and skips interim responses.
+// Check returns an error with the fault StatusLine if a head that net/http has read is no
+// response. That package requires three characters and a number, and skips interim responses.
 func Check(response *http.Response) error {
 	known := response.ProtoMajor == 1 && (response.ProtoMinor == 0 || response.ProtoMinor == 1)
 	if known && response.StatusCode >= finalMin && response.StatusCode <= finalMax {
--- a/internal/node/relay/faults_test.go
+++ b/internal/node/relay/faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 	"github.com/gypsumrail/gypsumrail/internal/node/form"
 )
 
@@ -43,8 +44,8 @@
 // the hop to the target and on that between nodes.
 func TestFaultsAreReported(t *testing.T) {
 	next := make(chan string, 1)
-	target := listenRaw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
-	peer := listenRaw(t, func(conn net.Conn, r *http.Request) {
+	target := stubs.Raw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
+	peer := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 		if !isControl(r) {
 			writeBad(conn, r, <-next, peerAnswer)
 		}
--- a/internal/node/relay/fields_test.go
+++ b/internal/node/relay/fields_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 )
 
 // malformedLines are lines in the place of a field whose name is no token.
@@ -47,7 +49,7 @@
 						writeBad(conn, r, <-next, hop.nodeHeader)
 					}
 				}
-				address := listenRaw(t, serve)
+				address := stubs.Raw(t, serve)
 				entry, _ := startRaw(t, address, address)
 				for i, line := range malformedLines() {
 					for j, place := range places {
@@ -72,7 +74,7 @@
 // 5.1 and 5.2), or the answer is refused.
 func TestBlanksAroundNames(t *testing.T) {
 	next := make(chan string, 1)
-	target := listenRaw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
+	target := stubs.Raw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
 	entry, _ := startRaw(t, target, "")
 	for i, line := range []string{"X-Bad : 1", "X-Bad\t: 1", " X-Bad: 1", "\tX-Bad: 1", " Content-Length: 1", "Content-Length : 1"} {
 		for j, place := range places {
@@ -101,7 +103,7 @@
 // Guards against control bytes that a target puts into the reason phrase, and that reach the client.
 func TestReasonPhrase(t *testing.T) {
 	next := make(chan string, 1)
-	target := listenRaw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
+	target := stubs.Raw(t, func(conn net.Conn, r *http.Request) { writeBad(conn, r, <-next, "") })
 	entry, _ := startRaw(t, target, "")
 	for i, test := range []struct {
 		phrase string
--- a/internal/node/relay/raw_test.go
+++ b/internal/node/relay/raw_test.go
@@ -1,10 +1,8 @@
 package relay_test
 
 import (
-	"bufio"
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,32 +12,6 @@
 	"github.com/gypsumrail/gypsumrail"
 )
 
-// listenRaw accepts connections and hands each over with the first request on it, whose body is
-// not read. It returns its address.
-func listenRaw(t *testing.T, serve func(conn net.Conn, r *http.Request)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					serve(conn, r)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // uploadBytesMax is the longest body of a request that the records of raw deployments allow.
 const uploadBytesMax = 16 << 20
 
--- a/internal/node/relay/reset_test.go
+++ b/internal/node/relay/reset_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 )
 
 // uploadDeployment starts a node that clients use, and one beside the target of service back at
@@ -43,12 +44,6 @@
 	return answer.StatusCode, got, err //nolint:wrapcheck // a test compares it with nil
 }
 
-// reset closes a connection with a reset, whatever was read from it.
-func reset(conn net.Conn) {
-	_ = conn.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // listenRaw accepts TCP only
-	_ = conn.Close()
-}
-
 // Guards against a part of an answer that is passed on as the whole: the target answers an upload
 // at once and without a length, sends a part and resets the connection while the rest of the
 // upload is being written. The socket reports the reset to the writer, and the reader finds the
@@ -74,7 +69,7 @@
 		} {
 			t.Run(framing.name+"/"+test.name, func(t *testing.T) {
 				t.Parallel()
-				target := listenRaw(t, func(conn net.Conn, r *http.Request) {
+				target := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 					_, _ = io.CopyN(io.Discard, r.Body, test.readBytes)
 					fmt.Fprintf(conn, proofHead+framing.head+"\r\n", r.Header.Get("X-Id"))
 					if framing.head == "Transfer-Encoding: chunked\r\n" {
@@ -85,7 +80,7 @@
 					}
 					if test.resetAfter > 0 {
 						time.Sleep(test.resetAfter)
-						reset(conn)
+						stubs.Reset(conn)
 					}
 				})
 				entry := uploadDeployment(t, target)
@@ -114,10 +109,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			answer := pattern(4000)
-			target := listenRaw(t, func(conn net.Conn, r *http.Request) {
+			target := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 				fmt.Fprintf(conn, proofHead+"\r\n", r.Header.Get("X-Id"))
 				_, _ = conn.Write(answer)
-				_ = conn.(*net.TCPConn).CloseWrite() //nolint:forcetypeassert // listenRaw accepts TCP only
+				_ = conn.(*net.TCPConn).CloseWrite() //nolint:forcetypeassert // it is of TCP
 				time.Sleep(test.pause)
 				if test.reads {
 					_, _ = io.Copy(io.Discard, r.Body)
@@ -139,13 +134,13 @@
 // Guards against the same on the hop between nodes, where the side that answers is a node of
 // another version or none at all.
 func TestResetOfPeerDuringUpload(t *testing.T) {
-	peer := listenRaw(t, func(conn net.Conn, r *http.Request) {
+	peer := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 		if isControl(r) {
 			return
 		}
 		fmt.Fprintf(conn, proofHead+peerAnswer+"\r\npart", r.Header.Get("X-Id"))
 		time.Sleep(30 * time.Millisecond)
-		reset(conn)
+		stubs.Reset(conn)
 	})
 	front := newTarget(t, writeEcho)
 	entry, _ := startRaw(t, front.listener.Addr().String(), peer)
--- a/internal/node/relay/sending.go
+++ b/internal/node/relay/sending.go
@@ -12,7 +12,7 @@
 )
 
 // sending is the writing of a request, the last part of which may go on while the answer is
-// read. One goroutine uses its methods.
+// read. Its methods are not safe for concurrent use.
 type sending struct {
 	done chan struct{} // closed at the end of a concurrent write; nil if there is none
 	err  error         // of the write; guarded by done, if that is not nil
@@ -44,7 +44,8 @@
 }
 
 // checkEnd is called when a read has found the end of the connection. It ends the write, and
-// returns an error with the fault form.Truncated if the other side did not end the connection in order.
+// returns an error with the fault form.Truncated if the other side did not end the connection
+// in order.
 //
 // The kernel reports a reset once, to the call that comes first. If that is the write, the read
 // finds an end as after a close in order, so only the write knows. A write that still waits at
--- a/internal/node/relay/uploads_test.go
+++ b/internal/node/relay/uploads_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gypsumrail/gypsumrail"
+	"github.com/gypsumrail/gypsumrail/internal/lab/stubs"
 )
 
 // requestBytesMax is the longest body that the records of the users' deployments allow.
@@ -58,7 +59,7 @@
 func TestUploadsBesideEndlessAnswers(t *testing.T) {
 	const uploadBytes, uploads, clients = 40 << 20, 8, 40
 	more := bytes.Repeat([]byte("0123456789abcdef"), 4<<10)
-	target := listenRaw(t, func(conn net.Conn, r *http.Request) {
+	target := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 		if r.URL.Path == "/own/upload" {
 			n, _ := io.Copy(io.Discard, r.Body)
 			fmt.Fprintf(conn, proofHead+"X-Read: %d\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"), n)
@@ -125,7 +126,7 @@
 // Guards against short uploads in chunks that are refused because each counts as the longest.
 func TestShortUploadsInChunks(t *testing.T) {
 	const uploads, uploadBytes = 40, 1000
-	target := listenRaw(t, func(conn net.Conn, r *http.Request) {
+	target := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		fmt.Fprintf(conn, proofHead+"Connection: close\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
 	})
@@ -163,7 +164,7 @@
 	for _, inChunks := range []bool{false, true} {
 		t.Run(fmt.Sprintf("in chunks %v", inChunks), func(t *testing.T) {
 			var ran sync.Map
-			target := listenRaw(t, func(conn net.Conn, r *http.Request) {
+			target := stubs.Raw(t, func(conn net.Conn, r *http.Request) {
 				n, _ := io.Copy(io.Discard, r.Body)
 				ran.Store(r.Header.Get("X-Id"), n)
 				fmt.Fprintf(conn, proofHead+"Connection: close\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
