--- a/internal/node/shell/forward.go
+++ b/internal/node/shell/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumrail/gypsumrail"
 	"github.com/gypsumrail/gypsumrail/internal/node/client"
+	"github.com/gypsumrail/gypsumrail/internal/node/form"
 	"github.com/gypsumrail/gypsumrail/internal/node/wire"
 )
 
@@ -46,6 +47,7 @@
 		result, err = wire.ParseAnswer(header.Get(wire.HeaderAttemptID), answer.StatusCode, answer.Header)
 		if err != nil {
 			s.log.Put(NoticeForeignAnswer, to.Name, gypsumrail.ReasonBroken, err.Error())
+			s.parts.Meter.RecordFault(HopPeer, form.NodeHeader)
 			_ = answer.Body.Close()
 			answer = nil
 		} else {
