--- a/internal/node/form/read.go
+++ b/internal/node/form/read.go
@@ -44,7 +44,6 @@
 // isOwnEnd reports whether a read failed because this process closed the connection, canceled
 // the request or set a deadline that has passed.
 func isOwnEnd(err error) bool {
-	var failure net.Error
-	return errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) ||
-		errors.As(err, &failure) && failure.Timeout()
+	var failure interface{ Timeout() bool } // also of fasthttp, which has no net.Error
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) || errors.As(err, &failure) && failure.Timeout()
 }
