--- a/internal/node/relay/grant_test.go
+++ b/internal/node/relay/grant_test.go
@@ -1,8 +1,6 @@
 package relay_test
 
 import (
-	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,21 +12,7 @@
 // metric returns the value of a metric of a node without labels, as text.
 func metric(t *testing.T, s *sidecar, name string) string {
 	t.Helper()
-	answer, err := http.Get("http://" + s.ports.Admin + "/metrics") //nolint:noctx // loopback
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, name+" "); ok {
-			return strings.TrimSpace(value)
-		}
-	}
-	return ""
+	return strings.TrimSpace(strings.TrimPrefix(metricLines(t, s, name+" "), name))
 }
 
 // Guards against delegations that do not reach the broker over the control port, and
