--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -20,8 +20,6 @@
 )
 
 var cases = map[string]func(*trial) (broken bool, err error){
-	"stop":    runStop,
-	"head":    runHead,
 	"born":    runBorn,
 	"listing": runListing,
 }
