--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -20,6 +20,7 @@
 )
 
 var cases = map[string]func(*trial) (broken bool, err error){
+	"silent":  runSilent,
 	"born":    runBorn,
 	"listing": runListing,
 }
