--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -23,6 +23,7 @@
 	"silent":  runSilent,
 	"born":    runBorn,
 	"listing": runListing,
+	"restore": runRestore,
 }
 
 func main() {
