--- a/review/stand3/born.go
+++ b/review/stand3/born.go
@@ -10,8 +10,9 @@
 // its machine jumps back, so that its field born is lower than before. Later it reports
 // draining, serves on, and exits.
 const (
-	flapGap   = time.Second             // srv_flap
-	clockStep = 2400 * time.Millisecond // clock_step
+	flapPeriod = 1400 * time.Millisecond // srv_flap: half of it down, half of it up
+	flapTurns  = 4
+	clockStep  = 2400 * time.Millisecond // clock_step
 )
 
 func runBorn(t *trial) (bool, error) {
@@ -63,31 +64,21 @@
 
 	// The upstream goes down and up by turns. Its machine's time of day jumps back before the
 	// last start.
-	for range 2 {
-		time.Sleep(flapGap)
+	for turn := range flapTurns {
+		time.Sleep(flapPeriod / 2)
 		t.rec.note("the upstream %s goes down", leaver.id)
 		leaver.end()
-		time.Sleep(flapGap)
+		time.Sleep(flapPeriod / 2)
 		before := leaver.born
 		if err := leaver.start(); err != nil {
 			return false, err
 		}
+		if t.trouble && turn == flapTurns-1 {
+			leaver.born -= clockStep.Milliseconds()
+		}
 		t.rec.note("the upstream %s is up again, born %+d ms", leaver.id, leaver.born-before)
 		t.store.put("servers/"+leaver.id, leaver.entry("ready", 1))
 	}
-	time.Sleep(flapGap)
-	t.rec.note("the upstream %s goes down", leaver.id)
-	leaver.end()
-	time.Sleep(flapGap)
-	before := leaver.born
-	if err := leaver.start(); err != nil {
-		return false, err
-	}
-	if t.trouble {
-		leaver.born -= clockStep.Milliseconds()
-	}
-	t.rec.note("the upstream %s is up again, born %+d ms", leaver.id, leaver.born-before)
-	t.store.put("servers/"+leaver.id, leaver.entry("ready", 1))
 
 	// Everything is calm for far longer than stableWindowS.
 	time.Sleep(12 * time.Second)
