review: case 15, a node started during a restore uses an upstream that had left

Tried: an upstream leaves, the store comes back from a copy with its entry, and one node is killed and started again meanwhile.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"born":    runBorn,
 	"listing": runListing,
 	"restore": runRestore,
+	"restart": runRestart,
 }
 
 func main() {
